Share load and troubles of targets between gateways; correct copies and silence

Cause: each process knew only its own requests, so prompts collided at one engine and every process found each lost engine by itself; an attempt that had not run replaced the copy of the one that had; the silence of a stream was measured against the limit of its first event; requests on kept connections waited for lost targets. Change: UDP reports between gateways (usage, troubles, addresses), zones with several lost targets are avoided, copies are kept apart, unacknowledged bytes end a connection after 500 ms, keep-alive probes while a prompt is read.

--- /dev/null
+++ b/include/lovage/adapters/gateway/peer_report_udp.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "lovage/core/peer_report.h"
+#include "lovage/core/result.h"
+#include "lovage/ports/peer_report_port.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lovage {
+
+/// A report as a CBOR document.
+std::string encode_report(const peer_report& report);
+/// Nothing if the bytes are no report.
+std::optional<peer_report> decode_report(const std::string& bytes);
+
+/// Peer reports as UDP datagrams. All calls on the io_context's thread.
+class peer_report_udp {
+public:
+    /// Listens on "ip:port". Fails with `invalid_settings` if the address cannot be used.
+    static result<std::unique_ptr<peer_report_udp>> start(boost::asio::io_context& io,
+                                                          const std::string& address,
+                                                          std::function<void(peer_report)> take,
+                                                          std::function<void(const std::string&)> count);
+    ~peer_report_udp();
+    peer_report_udp(const peer_report_udp&) = delete;
+    peer_report_udp& operator=(const peer_report_udp&) = delete;
+
+    peer_report_port port();
+
+private:
+    peer_report_udp();
+    struct state;
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace lovage
--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -33,6 +33,8 @@
 /// A target and what is known of its entry.
 struct followed_target {
     target_record record;
+    /// The store's revision at which this life of the target was first seen.
+    std::uint64_t created = 0;
     /// The entry went away while the store was not reliable; the target is used until this time unless the
     /// entry comes back.
     std::optional<time_point> missing_until;
--- a/include/lovage/core/attempt_plan.h
+++ b/include/lovage/core/attempt_plan.h
@@ -14,6 +14,8 @@
     unreachable,
     /// The target says that it did not run the request.
     not_run,
+    /// Another target has the address; the request did not run.
+    other_target,
     /// The target answered with a failure of its own; the request has run.
     failed_answer,
     /// The connection was lost or the answer is not usable; the request may have run.
@@ -23,9 +25,9 @@
     /// The engine no longer has the copy from which the request was to go on; it did not run.
     copy_gone,
 };
-inline constexpr std::size_t k_attempt_end_count = 6;
+inline constexpr std::size_t k_attempt_end_count = 7;
 inline constexpr enum_names<k_attempt_end_count> k_attempt_end_names{
-    "unreachable", "not_run", "failed_answer", "broken", "silent", "copy_gone"};
+    "unreachable", "not_run", "other_target", "failed_answer", "broken", "silent", "copy_gone"};
 static_assert(static_cast<std::size_t>(attempt_end::copy_gone) + 1 == k_attempt_end_count);
 
 /// What the plan for the next step depends on.
--- a/include/lovage/core/retry_window.h
+++ b/include/lovage/core/retry_window.h
@@ -27,6 +27,9 @@
 
 void record_first_send(retry_window& window, const retry_window_limits& limits, time_point now);
 
+/// Whether a retry is left in the window's share.
+bool can_spend_retry(retry_window& window, const retry_window_limits& limits, time_point now);
+
 /// Takes one retry; false if the window's share is spent.
 bool try_spend_retry(retry_window& window, const retry_window_limits& limits, time_point now);
 
--- a/include/lovage/core/target_choice.h
+++ b/include/lovage/core/target_choice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovage/core/enum_names.h"
 #include "lovage/core/target_record.h"
 #include "lovage/core/time.h"
 
@@ -41,6 +42,8 @@
     std::vector<std::string> excluded;
     /// Zones to avoid, for a copy: that of the run.
     std::string avoided_zone;
+    /// Zones where several targets have failed just now; others are preferred.
+    std::vector<std::string> troubled_zones;
     /// The request reads a long prompt, which delays all others at the target.
     bool has_prompt = false;
     time_point now{};
@@ -59,12 +62,21 @@
 std::optional<std::size_t> choose_copy(const std::vector<target_candidate>& candidates, const placement& want,
                                        std::mt19937_64& random);
 
-/// Limits of avoiding a target after failures.
-inline constexpr milliseconds k_first_avoidance{400};
-/// Targets restart within a second or two, so a longer pause would leave a healthy target unused.
-inline constexpr milliseconds k_longest_avoidance{3'000};
+/// How sure a failure shows that a target is gone.
+enum class target_trouble : std::uint8_t {
+    /// One request went wrong.
+    request_failed,
+    /// Nothing listens there, or nothing answers.
+    unreachable,
+    /// Another target has the address.
+    replaced,
+};
+inline constexpr std::size_t k_target_trouble_count = 3;
+inline constexpr enum_names<k_target_trouble_count> k_target_trouble_names{"request_failed", "unreachable",
+                                                                           "replaced"};
 
-void record_target_failure(target_usage& usage, time_point now);
+/// Keeps new work away from the target for a while; longer after failures in a row.
+void record_target_failure(target_usage& usage, target_trouble trouble, time_point now);
 void record_target_success(target_usage& usage);
 
 /// Takes a load report of a target: `busy` requests run or wait there, this process's own included.
--- /dev/null
+++ b/include/lovage/ports/peer_report_port.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lovage/core/peer_report.h"
+
+#include <functional>
+#include <string>
+
+namespace lovage {
+
+/// Sends a report to another process; it may be lost. Never blocks.
+struct peer_report_port {
+    std::function<void(const std::string& address, const peer_report&)> send;
+};
+
+} // namespace lovage
--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -74,6 +74,8 @@
     bool is_marked = false;
     /// Whether the target says that it did not run the request.
     bool is_not_run = false;
+    /// Whether another target has the address; it did not run the request.
+    bool is_other_target = false;
     std::optional<reported_load> load;
 };
 
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -6,6 +6,7 @@
 #include "lovage/core/target_choice.h"
 #include "lovage/ports/target_port.h"
 #include "lovage/ports/timer_port.h"
+#include "lovage/traffic/peer_exchange.h"
 
 #include <cstdint>
 #include <functional>
@@ -37,6 +38,11 @@
     std::function<void(const std::string& name, double seconds)> observe;
 };
 
+/// Targets of a service in one zone that failed lately.
+struct zone_trouble {
+    std::map<std::string, time_point> failed;
+};
+
 /// State of the traffic thread that all requests share. Only that thread touches it.
 struct gateway_traffic {
     gateway_options options;
@@ -49,6 +55,9 @@
     gateway_view_ptr view = std::make_shared<gateway_view>();
     std::unordered_map<std::string, target_usage> usage;
     std::unordered_map<std::string, retry_window> retries;
+    /// Recent failures by service and zone.
+    std::map<std::pair<std::string, std::string>, zone_trouble> zones;
+    peer_exchange peers;
     /// Requests in progress, for the news that their target is lost.
     std::set<proxied_request*> requests;
 };
@@ -63,6 +72,19 @@
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
                                        const std::string& id);
 
+/// Records a target's failure with its request, and with its zone if the target seems lost.
+void record_trouble(gateway_traffic& traffic, const std::string& service, const std::string& zone,
+                    const std::string& target_id, target_trouble trouble);
+
+/// Takes the news of another process that a target is in trouble.
+void take_peer_trouble(gateway_traffic& traffic, const peer_trouble& trouble);
+
+/// The share of the common retry budget that this process may spend now.
+retry_window_limits retry_share(const gateway_traffic& traffic);
+
+/// Zones in which several targets of the service have been lost just now: the rest of the zone is suspect.
+std::vector<std::string> troubled_zones(gateway_traffic& traffic, const std::string& service);
+
 /// Whether requests with a key may be served now.
 bool can_trust_keys(const gateway_traffic& traffic);
 
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -85,7 +85,9 @@
     void take_end();
     void end_attempt(attempt_end end, const std::string& detail);
     attempt take_attempt();
-    void release_target(const attempt& ended, bool target_failed);
+    void release_target(const attempt& ended);
+    void record_health(const attempt& ended, attempt_end end);
+    bool can_go_on_elsewhere();
     void cancel_attempt();
     void follow_plan(attempt_end end, const std::string& detail);
     attempt_facts facts_of(attempt_end end);
@@ -125,6 +127,9 @@
     bool m_is_done = false;
     std::string m_last_event_id;
     time_point m_last_delivery{};
+    /// Time to the first event, and the longest time between two events.
+    time_point::duration m_first_event{};
+    time_point::duration m_longest_gap{};
 };
 
 } // namespace lovage
--- /dev/null
+++ b/src/adapters/gateway/peer_report_udp.cpp
@@ -0,0 +1,176 @@
+#include "lovage/adapters/gateway/peer_report_udp.h"
+
+#include "lovage/adapters/settings.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <nlohmann/json.hpp>
+
+namespace lovage {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using nlohmann::json;
+using udp = asio::ip::udp;
+
+constexpr std::size_t k_max_datagram = 8'192;
+// Bounds of what a report may hold, so that a strange one costs little.
+constexpr std::size_t k_max_entries = 256;
+
+json to_json(const peer_usage& usage) {
+    return json::array({usage.target_id, usage.in_flight, usage.waiting_first, usage.copies});
+}
+
+json to_json(const peer_trouble& trouble) {
+    return json::array({trouble.service, trouble.zone, trouble.target_id,
+                        static_cast<unsigned>(trouble.trouble), trouble.number});
+}
+
+peer_usage usage_of(const json& row) {
+    return {row.at(0).get<std::string>(), row.at(1).get<std::uint32_t>(), row.at(2).get<std::uint32_t>(),
+            row.at(3).get<std::uint32_t>()};
+}
+
+peer_trouble trouble_of(const json& row) {
+    peer_trouble trouble;
+    trouble.service = row.at(0).get<std::string>();
+    trouble.zone = row.at(1).get<std::string>();
+    trouble.target_id = row.at(2).get<std::string>();
+    const auto kind = row.at(3).get<unsigned>();
+    trouble.trouble = static_cast<target_trouble>(std::min<std::size_t>(kind, k_target_trouble_count - 1));
+    trouble.number = row.at(4).get<std::uint64_t>();
+    return trouble;
+}
+
+} // namespace
+
+std::string encode_report(const peer_report& report) {
+    json document{{"n", report.node},    {"b", report.started_ms}, {"s", report.sequence},
+                  {"a", report.address}, {"u", json::array()},     {"t", json::array()},
+                  {"p", report.peers}};
+    for (const auto& usage : report.usage) {
+        document["u"].push_back(to_json(usage));
+    }
+    for (const auto& trouble : report.troubles) {
+        document["t"].push_back(to_json(trouble));
+    }
+    const auto bytes = json::to_cbor(document);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<peer_report> decode_report(const std::string& bytes) {
+    try {
+        const json document = json::from_cbor(bytes);
+        peer_report report;
+        report.node = document.at("n").get<std::string>();
+        report.started_ms = document.at("b").get<std::uint64_t>();
+        report.sequence = document.at("s").get<std::uint64_t>();
+        report.address = document.at("a").get<std::string>();
+        report.peers = document.at("p").get<std::vector<std::string>>();
+        const auto& usage = document.at("u");
+        const auto& troubles = document.at("t");
+        if (usage.size() > k_max_entries || troubles.size() > k_max_entries ||
+            report.peers.size() > k_max_entries) {
+            return std::nullopt;
+        }
+        std::transform(usage.begin(), usage.end(), std::back_inserter(report.usage), usage_of);
+        std::transform(troubles.begin(), troubles.end(), std::back_inserter(report.troubles), trouble_of);
+        return report;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+struct peer_report_udp::state : std::enable_shared_from_this<peer_report_udp::state> {
+    explicit state(asio::io_context& io) : socket(io) {}
+
+    udp::socket socket;
+    udp::endpoint from;
+    std::array<char, k_max_datagram> bytes{};
+    std::function<void(peer_report)> take;
+    std::function<void(const std::string&)> count;
+
+    void receive() {
+        socket.async_receive_from(asio::buffer(bytes), from,
+                                  [self = shared_from_this()](const error_code& failure, std::size_t size) {
+                                      if (failure == asio::error::operation_aborted) {
+                                          return;
+                                      }
+                                      if (!failure) {
+                                          self->take_datagram(size);
+                                      }
+                                      self->receive();
+                                  });
+    }
+
+    void take_datagram(std::size_t size) {
+        auto report = decode_report(std::string(bytes.data(), size));
+        count(report ? "received" : "malformed");
+        if (report) {
+            take(std::move(*report));
+        }
+    }
+
+    void send(const std::string& address, const std::string& datagram) {
+        const auto parsed = parse_endpoint(address);
+        if (!parsed) {
+            count("bad_address");
+            return;
+        }
+        error_code failure;
+        socket.send_to(asio::buffer(datagram), {asio::ip::make_address_v4(parsed->ip), parsed->port}, 0,
+                       failure);
+        count(failure ? "send_failed" : "sent");
+    }
+};
+
+peer_report_udp::peer_report_udp() = default;
+
+peer_report_udp::~peer_report_udp() {
+    if (m_state) {
+        error_code ignored;
+        m_state->socket.close(ignored);
+    }
+}
+
+result<std::unique_ptr<peer_report_udp>> peer_report_udp::start(asio::io_context& io, const std::string& address,
+                                                                std::function<void(peer_report)> take,
+                                                                std::function<void(const std::string&)> count) {
+    const auto parsed = parse_endpoint(address);
+    if (!parsed) {
+        return tl::unexpected<error>(parsed.error());
+    }
+    std::unique_ptr<peer_report_udp> endpoint(new peer_report_udp);
+    endpoint->m_state = std::make_shared<state>(io);
+    auto& own = *endpoint->m_state;
+    own.take = std::move(take);
+    own.count = std::move(count);
+    error_code failure;
+    own.socket.open(udp::v4(), failure);
+    own.socket.non_blocking(true, failure);
+    own.socket.bind({asio::ip::make_address_v4(parsed->ip), parsed->port}, failure);
+    if (failure) {
+        return fail(error_kind::invalid_settings, "cannot listen on " + address + ": " + failure.message());
+    }
+    own.receive();
+    return endpoint;
+}
+
+peer_report_port peer_report_udp::port() {
+    peer_report_port port;
+    port.send = [state = m_state, last = std::uint64_t{0}, bytes = std::string()](
+                    const std::string& address, const peer_report& report) mutable {
+        // The same report goes to several receivers.
+        if (report.sequence != last) {
+            last = report.sequence;
+            bytes = encode_report(report);
+        }
+        state->send(address, bytes);
+    };
+    return port;
+}
+
+} // namespace lovage
--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -19,8 +19,11 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-// A target that acknowledges nothing for this long is cut off; open streams notice earlier by their pace.
-constexpr milliseconds k_unacknowledged{3'000};
+// A target that acknowledges nothing for this long is cut off. Requests on kept connections need it, as they are
+// sent without the check that connecting is; two lost packets in a row are sent again within this time.
+constexpr milliseconds k_unacknowledged{500};
+// Seconds before the first probe and between probes, and the number of probes; less is not possible.
+constexpr int k_keepalive = 1;
 constexpr std::uint32_t k_max_answer_head = 65'536;
 
 bool has_body(const forwarded_request& request) {
@@ -45,6 +48,12 @@
     const auto limit = static_cast<unsigned>(k_unacknowledged.count());
     // Without the option a lost target is noticed later, by the limits of the request.
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+    // A target that is lost while it reads a prompt is noticed by a probe, as nothing else is sent to it then.
+    const int on = 1;
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    for (const int option : {TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_KEEPCNT}) {
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &k_keepalive, sizeof(k_keepalive));
+    }
 }
 
 } // namespace
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -135,6 +135,9 @@
                 {"version", record->version},
                 {"phase", std::string(name_of(k_target_phase_names, record->phase))},
                 {"revision", std::to_string(change.value->revision)}});
+    if (known.record.id.empty() || known.record.started_ms != record->started_ms) {
+        known.created = change.value->revision;
+    }
     known.record = std::move(*record);
     state.is_targets_changed = true;
 }
@@ -166,8 +169,17 @@
 }
 
 std::shared_ptr<const std::map<std::string, target_list>> make_targets(const gateway_state& state) {
+    // A target that was started later at the same address has taken the place of the other.
+    std::map<std::string, std::uint64_t> newest;
+    for (const auto& [id, target] : state.targets) {
+        auto& revision = newest[target.record.address];
+        revision = std::max(revision, target.created);
+    }
     auto lists = std::make_shared<std::map<std::string, target_list>>();
     for (const auto& [id, target] : state.targets) {
+        if (target.created < newest[target.record.address]) {
+            continue;
+        }
         const auto rollout = state.rollouts.find(target.record.service);
         // A version that is being moved to gets no traffic before it is judged.
         const bool is_held_back =
--- a/src/core/retry_window.cpp
+++ b/src/core/retry_window.cpp
@@ -23,18 +23,22 @@
     ++current_slice(window, limits, now).requests;
 }
 
-bool try_spend_retry(retry_window& window, const retry_window_limits& limits, time_point now) {
-    auto& slice = current_slice(window, limits, now);
+bool can_spend_retry(retry_window& window, const retry_window_limits& limits, time_point now) {
+    current_slice(window, limits, now);
     double requests = 0.0;
     double retries = 0.0;
     for (const auto& each : window.slices) {
         requests += each.requests;
         retries += each.retries;
     }
-    if (retries + 1.0 > limits.ratio * requests + limits.fixed) {
+    return retries + 1.0 <= limits.ratio * requests + limits.fixed;
+}
+
+bool try_spend_retry(retry_window& window, const retry_window_limits& limits, time_point now) {
+    if (!can_spend_retry(window, limits, now)) {
         return false;
     }
-    ++slice.retries;
+    ++window.slices.back().retries;
     return true;
 }
 
--- a/src/core/target_choice.cpp
+++ b/src/core/target_choice.cpp
@@ -1,6 +1,7 @@
 #include "lovage/core/target_choice.h"
 
 #include <algorithm>
+#include <array>
 
 namespace lovage {
 
@@ -15,7 +16,16 @@
 // Bytes between zones are dear, but a queue is dearer.
 constexpr double k_other_zone_cost = 0.3;
 constexpr double k_avoided_cost = 1'000.0;
+// A few requests more are better than a target that has probably gone with its neighbours.
+constexpr double k_troubled_zone_cost = 8.0;
 constexpr double k_avoided_zone_cost = 100.0;
+// How long a target is avoided after the first failure of each kind. One that nothing listens at restarts
+// within a few seconds, and then registers anew; one that was replaced never comes back under its id.
+constexpr std::array<milliseconds, k_target_trouble_count> k_avoidances{
+    milliseconds(400), milliseconds(1'500), milliseconds(10'000)};
+// Doubling stops here.
+constexpr milliseconds k_longest_avoidance{10'000};
+constexpr std::uint32_t k_most_doublings = 5;
 // Costs that differ by less are taken as equal.
 constexpr double k_same_cost = 0.25;
 
@@ -73,6 +83,10 @@
     if (candidate.record->zone != want.zone) {
         cost += k_other_zone_cost;
     }
+    const auto& troubled = want.troubled_zones;
+    if (std::find(troubled.begin(), troubled.end(), candidate.record->zone) != troubled.end()) {
+        cost += k_troubled_zone_cost;
+    }
     if (want.now < usage.avoid_until) {
         cost += k_avoided_cost;
     }
@@ -95,10 +109,10 @@
     return choose_by(candidates, want, cost, random);
 }
 
-void record_target_failure(target_usage& usage, time_point now) {
-    // 2^4 times the first avoidance is above the longest.
-    const auto doublings = std::min<std::uint32_t>(usage.failures_in_row, 4);
-    const auto pause = std::min(k_first_avoidance * (1U << doublings), k_longest_avoidance);
+void record_target_failure(target_usage& usage, target_trouble trouble, time_point now) {
+    const auto doublings = std::min(usage.failures_in_row, k_most_doublings);
+    const auto first = k_avoidances.at(static_cast<std::size_t>(trouble));
+    const auto pause = std::min(first * (1U << doublings), k_longest_avoidance);
     usage.avoid_until = std::max<time_point>(usage.avoid_until, now + pause);
     ++usage.failures_in_row;
 }
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include "store_kv.h"
 
 #include "lovage/adapters/gateway/caller_server.h"
+#include "lovage/adapters/gateway/peer_report_udp.h"
 #include "lovage/adapters/gateway/status_server.h"
 #include "lovage/adapters/gateway/target_pool.h"
 #include "lovage/adapters/log.h"
@@ -46,6 +47,7 @@
     void run() { m_io.run(); }
 
 private:
+    result<void> start_peers();
     gateway_control_ports make_control_ports();
     timer_port make_timers();
     decision_sink make_sink();
@@ -67,6 +69,7 @@
     std::unique_ptr<caller_server> m_callers;
     std::unique_ptr<status_server> m_readiness;
     std::unique_ptr<status_server> m_metrics_page;
+    std::unique_ptr<peer_report_udp> m_peers;
     std::unique_ptr<gateway_control> m_control;
     std::optional<time_point> m_leaving_since;
     bool m_was_ready = false;
@@ -180,6 +183,9 @@
         }
         m_metrics_page = std::move(*metrics_page);
     }
+    if (const auto joined = start_peers(); !joined) {
+        return joined;
+    }
     m_control = gateway_control::start(make_control_ports());
     wait_for_signal();
     log_event(log_level::info, "started",
@@ -191,6 +197,30 @@
     return {};
 }
 
+result<void> gateway_process::start_peers() {
+    if (m_settings.peers_address.empty()) {
+        return {};
+    }
+    auto endpoint = peer_report_udp::start(
+        m_io, m_settings.peers_address,
+        [this](peer_report report) { take_report(m_traffic, std::move(report)); },
+        [this](const std::string& outcome) {
+            m_metrics.count("gateway_peer_reports", 1.0, {{"outcome", outcome}});
+        });
+    if (!endpoint) {
+        return tl::unexpected<error>(endpoint.error());
+    }
+    m_peers = std::move(*endpoint);
+    auto& exchange = m_traffic.peers;
+    exchange.port = m_peers->port();
+    exchange.node = m_settings.node;
+    exchange.address = m_settings.peers_address;
+    exchange.started_ms = static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
+    exchange.seeds = m_settings.seeds;
+    start_peer_exchange(m_traffic);
+    return {};
+}
+
 void gateway_process::wait_for_signal() {
     m_stop_signals.async_wait([this](const error_code& cancelled, int signal) {
         if (!cancelled) {
--- a/src/programs/lovage-gateway/gateway_settings.cpp
+++ b/src/programs/lovage-gateway/gateway_settings.cpp
@@ -11,9 +11,6 @@
 constexpr std::int64_t k_default_descriptors = 4'096;
 constexpr std::int64_t k_most_descriptors = 1'000'000;
 constexpr milliseconds k_longest_time{600'000};
-// Share of the fixed part of the common retry budget that one process may use. Processes do not know how many
-// they are; with more than this many, few spend their part at the same time.
-constexpr double k_expected_processes = 10.0;
 
 } // namespace
 
@@ -24,13 +21,15 @@
     settings.callers_address = reader.required_address("callers.address");
     settings.readiness_address = reader.required_address("readiness.address");
     settings.metrics_address = reader.address("metrics.address", "");
+    settings.peers_address = reader.address("peers.address", "");
+    settings.seeds = reader.addresses("peers.seeds");
     settings.store_address = reader.required_address("store.address");
     const auto descriptors =
         reader.integer("limits.descriptors", k_default_descriptors, k_reserved_descriptors * 2, k_most_descriptors);
     settings.max_connections =
         static_cast<std::size_t>((descriptors - k_reserved_descriptors) / k_caller_part);
     settings.retries.ratio = reader.number("retries.ratio", settings.retries.ratio, 0.0, 100.0);
-    settings.retries.fixed = reader.number("retries.fixed", 100.0, 0.0, 1e6) / k_expected_processes;
+    settings.retries.fixed = reader.number("retries.fixed", 100.0, 0.0, 1e6);
     settings.retries.window = std::chrono::seconds(reader.integer("retries.window_s", 10, 1, 3'600));
     settings.key_trust =
         reader.duration_ms("keys.trust_ms", settings.key_trust, milliseconds(1), k_longest_time);
--- a/src/programs/lovage-gateway/gateway_settings.h
+++ b/src/programs/lovage-gateway/gateway_settings.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace lovage {
 
@@ -19,6 +20,10 @@
     std::string readiness_address;
     std::string metrics_address;
     std::string store_address;
+    /// Where reports of other gateways arrive; empty for none.
+    std::string peers_address;
+    /// Some of the other gateways; the rest is learned from them.
+    std::vector<std::string> seeds;
     std::size_t max_connections = 1'000;
     retry_window_limits retries;
     /// How long after the store's last confirmation keys are accepted.
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -7,6 +7,60 @@
 
 namespace lovage {
 
+namespace {
+
+// Targets of a zone that must be lost within the time below before the whole zone is suspect.
+constexpr std::size_t k_troubled_targets = 3;
+constexpr milliseconds k_trouble_time{1'500};
+
+} // namespace
+
+void record_trouble(gateway_traffic& traffic, const std::string& service, const std::string& zone,
+                    const std::string& target_id, target_trouble trouble) {
+    const auto now = traffic.timers.now();
+    record_target_failure(traffic.usage[target_id], trouble, now);
+    if (trouble != target_trouble::replaced) {
+        traffic.zones[{service, zone}].failed[target_id] = now;
+    }
+    report_trouble(traffic, {service, zone, target_id, trouble, 0});
+}
+
+void take_peer_trouble(gateway_traffic& traffic, const peer_trouble& trouble) {
+    const auto now = traffic.timers.now();
+    record_target_failure(traffic.usage[trouble.target_id], trouble.trouble, now);
+    if (trouble.trouble != target_trouble::replaced) {
+        traffic.zones[{trouble.service, trouble.zone}].failed[trouble.target_id] = now;
+    }
+    if (trouble.trouble == target_trouble::unreachable) {
+        report_silent_target(traffic, trouble.target_id);
+    }
+}
+
+retry_window_limits retry_share(const gateway_traffic& traffic) {
+    // A process that hears no other may be alone, or cut off from many.
+    constexpr std::size_t k_assumed_processes = 10;
+    const auto peers = live_peers(traffic);
+    auto share = traffic.options.retries;
+    share.fixed /= static_cast<double>(peers > 0 ? peers + 1 : k_assumed_processes);
+    return share;
+}
+
+std::vector<std::string> troubled_zones(gateway_traffic& traffic, const std::string& service) {
+    const auto now = traffic.timers.now();
+    std::vector<std::string> troubled;
+    for (auto entry = traffic.zones.begin(); entry != traffic.zones.end();) {
+        auto& failed = entry->second.failed;
+        for (auto each = failed.begin(); each != failed.end();) {
+            each = now - each->second > k_trouble_time ? failed.erase(each) : std::next(each);
+        }
+        if (entry->first.first == service && failed.size() >= k_troubled_targets) {
+            troubled.push_back(entry->first.second);
+        }
+        entry = failed.empty() ? traffic.zones.erase(entry) : std::next(entry);
+    }
+    return troubled;
+}
+
 void take_view(gateway_traffic& traffic, gateway_view_ptr view) {
     const auto before = std::exchange(traffic.view, std::move(view));
     if (before->targets == traffic.view->targets || !before->targets) {
@@ -43,6 +97,12 @@
     for (const auto& target : found->second) {
         if (target.phase == target_phase::ready) {
             candidates.push_back({&target, traffic.usage[target.id]});
+            auto& usage = candidates.back().usage;
+            const auto foreign = foreign_usage(traffic, target.id);
+            usage.foreign = std::max(usage.foreign, foreign.in_flight);
+            usage.reported_at = foreign.in_flight > 0 ? traffic.timers.now() : usage.reported_at;
+            usage.waiting_first += foreign.waiting_first;
+            usage.copies += foreign.copies;
         }
     }
     return candidates;
--- /dev/null
+++ b/src/traffic/peer_exchange.cpp
@@ -0,0 +1,183 @@
+#include "lovage/traffic/peer_exchange.h"
+
+#include "lovage/traffic/gateway_traffic.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lovage {
+
+namespace {
+
+// Changes within this time share one report.
+constexpr milliseconds k_gather{25};
+// Reports without a change, so that others know that this process lives.
+constexpr milliseconds k_heartbeat{500};
+// A process that has not reported for this long counts as gone: two heartbeats may be lost.
+constexpr milliseconds k_peer_life{1'600};
+// Addresses are kept for this long after the last report, so that a cut-off process is found again.
+constexpr milliseconds k_address_life{15'000};
+// A trouble is repeated in all reports of this time, as single reports may be lost.
+constexpr milliseconds k_trouble_repeat{300};
+// Bounds of a report, which must fit into one datagram.
+constexpr std::size_t k_max_usage = 40;
+constexpr std::size_t k_max_troubles = 8;
+constexpr std::size_t k_max_peers = 12;
+// Processes that are sent reports; more of them are reached through each other.
+constexpr std::size_t k_max_receivers = 32;
+
+peer_report make_report(gateway_traffic& traffic) {
+    auto& exchange = traffic.peers;
+    peer_report report;
+    report.node = exchange.node;
+    report.address = exchange.address;
+    report.started_ms = exchange.started_ms;
+    report.sequence = ++exchange.sequence;
+    for (const auto& [id, usage] : traffic.usage) {
+        if (report.usage.size() < k_max_usage && (usage.in_flight > 0 || usage.copies > 0)) {
+            report.usage.push_back({id, usage.in_flight, usage.waiting_first, usage.copies});
+        }
+    }
+    const auto now = traffic.timers.now();
+    while (!exchange.troubles.empty() && now - exchange.troubles.front().first > k_trouble_repeat) {
+        exchange.troubles.pop_front();
+    }
+    for (const auto& [at, trouble] : exchange.troubles) {
+        report.troubles.push_back(trouble);
+    }
+    for (const auto& [node, peer] : exchange.peers) {
+        if (report.peers.size() < k_max_peers) {
+            report.peers.push_back(peer.report.address);
+        }
+    }
+    return report;
+}
+
+std::set<std::string> receivers(const gateway_traffic& traffic) {
+    const auto& exchange = traffic.peers;
+    std::set<std::string> addresses(exchange.seeds.begin(), exchange.seeds.end());
+    for (const auto& [node, peer] : exchange.peers) {
+        if (addresses.size() < k_max_receivers) {
+            addresses.insert(peer.report.address);
+        }
+    }
+    addresses.erase(exchange.address);
+    return addresses;
+}
+
+void send_report(gateway_traffic& traffic) {
+    auto& exchange = traffic.peers;
+    exchange.is_due = false;
+    const auto now = traffic.timers.now();
+    for (auto peer = exchange.peers.begin(); peer != exchange.peers.end();) {
+        peer = now - peer->second.received > k_address_life ? exchange.peers.erase(peer) : std::next(peer);
+    }
+    const auto report = make_report(traffic);
+    for (const auto& address : receivers(traffic)) {
+        exchange.port.send(address, report);
+    }
+}
+
+bool is_live(const known_peer& peer, time_point now) {
+    return peer.received != time_point{} && now - peer.received <= k_peer_life;
+}
+
+} // namespace
+
+void start_peer_exchange(gateway_traffic& traffic) {
+    send_report(traffic);
+    traffic.timers.after(k_heartbeat, [&traffic] { start_peer_exchange(traffic); });
+}
+
+void report_change(gateway_traffic& traffic) {
+    if (!traffic.peers.port.send || std::exchange(traffic.peers.is_due, true)) {
+        return;
+    }
+    traffic.timers.after(k_gather, [&traffic] {
+        if (traffic.peers.is_due) {
+            send_report(traffic);
+        }
+    });
+}
+
+void report_trouble(gateway_traffic& traffic, peer_trouble trouble) {
+    auto& exchange = traffic.peers;
+    trouble.number = ++exchange.troubles_seen;
+    exchange.troubles.emplace_back(traffic.timers.now(), std::move(trouble));
+    if (exchange.troubles.size() > k_max_troubles) {
+        exchange.troubles.pop_front();
+    }
+    report_change(traffic);
+}
+
+void take_report(gateway_traffic& traffic, peer_report report) {
+    auto& exchange = traffic.peers;
+    if (report.node == exchange.node || report.node.empty()) {
+        return;
+    }
+    const auto now = traffic.timers.now();
+    auto& peer = exchange.peers[report.node];
+    if (report.started_ms != peer.report.started_ms) {
+        peer.last_trouble = 0;
+    } else if (report.sequence <= peer.report.sequence) {
+        return;
+    }
+    const bool was_live = is_live(peer, now);
+    peer.received = now;
+    for (const auto& address : report.peers) {
+        const bool is_known = address == exchange.address ||
+                              std::any_of(exchange.peers.begin(), exchange.peers.end(), [&](const auto& entry) {
+                                  return entry.second.report.address == address;
+                              });
+        if (!is_known && exchange.peers.size() < k_max_receivers) {
+            // It is heard under its name once it answers.
+            auto& found = exchange.peers["address " + address];
+            found.report.address = address;
+            found.received = now;
+        }
+    }
+    exchange.peers.erase("address " + report.address);
+    std::vector<peer_trouble> news;
+    for (const auto& trouble : report.troubles) {
+        if (trouble.number > peer.last_trouble) {
+            peer.last_trouble = trouble.number;
+            news.push_back(trouble);
+        }
+    }
+    if (!was_live) {
+        traffic.sink.log(log_level::info, "peer_known",
+                         {{"peer", report.node}, {"address", report.address}});
+    }
+    exchange.peers[report.node].report = std::move(report);
+    for (const auto& trouble : news) {
+        take_peer_trouble(traffic, trouble);
+    }
+}
+
+peer_usage foreign_usage(const gateway_traffic& traffic, const std::string& target_id) {
+    const auto now = traffic.timers.now();
+    peer_usage sum;
+    for (const auto& [node, peer] : traffic.peers.peers) {
+        if (!is_live(peer, now)) {
+            continue;
+        }
+        for (const auto& usage : peer.report.usage) {
+            if (usage.target_id == target_id) {
+                sum.in_flight += usage.in_flight;
+                sum.waiting_first += usage.waiting_first;
+                sum.copies += usage.copies;
+            }
+        }
+    }
+    return sum;
+}
+
+std::size_t live_peers(const gateway_traffic& traffic) {
+    const auto now = traffic.timers.now();
+    return static_cast<std::size_t>(
+        std::count_if(traffic.peers.peers.begin(), traffic.peers.peers.end(), [now](const auto& entry) {
+            return !entry.second.report.node.empty() && is_live(entry.second, now);
+        }));
+}
+
+} // namespace lovage
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -106,7 +106,7 @@
     m_ends = m_request.received + allowed;
     m_deadline_timer = m_traffic.timers.after(std::max(time_left(), milliseconds(0)),
                                               [self = shared_from_this()] { self->time_out(); });
-    record_first_send(m_traffic.retries[m_service_name], m_traffic.options.retries, m_traffic.timers.now());
+    record_first_send(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
     send(false);
 }
 
@@ -135,6 +135,7 @@
     want.zone = m_traffic.options.zone;
     want.excluded = m_excluded;
     want.has_prompt = m_request.prompt_tokens > 0;
+    want.troubled_zones = troubled_zones(m_traffic, m_service_name);
     want.now = m_traffic.timers.now();
     const target_record* record =
         from_copy ? find_ready_target(m_traffic, m_service_name, m_copy.target_id) : nullptr;
@@ -171,6 +172,9 @@
     m_attempt = std::move(next);
     auto handle = m_traffic.targets.open(m_request.forwarded, std::move(order), events_of(m_attempts));
     m_attempt->handle = std::move(handle);
+    if (is_stream()) {
+        report_change(m_traffic);
+    }
     arm_silence();
 }
 
@@ -210,12 +214,25 @@
     }
     const auto waited = m_traffic.timers.now() - current.pace.last;
     const auto left = std::chrono::ceil<milliseconds>(limit - waited);
-    if (left <= milliseconds(0)) {
+    if (left <= milliseconds(0) && can_go_on_elsewhere()) {
         end_attempt(attempt_end::silent, "silent for " + to_ms(waited) + " ms");
         return;
     }
+    // Without another way the request goes on waiting until its deadline.
     m_silence_timer = m_traffic.timers.after(
-        left, [self = shared_from_this(), number = current.number] { self->check_silence(number); });
+        left > milliseconds(0) ? left : limit, [self = shared_from_this(), number = current.number] { self->check_silence(number); });
+}
+
+bool proxied_request::can_go_on_elsewhere() {
+    auto facts = facts_of(attempt_end::silent);
+    ++facts.runs;
+    if (facts.runs >= facts.max_attempts && !facts.has_copy) {
+        return false;
+    }
+    facts.has_budget = can_spend_retry(m_traffic.retries[m_service_name], retry_share(m_traffic),
+                                       m_traffic.timers.now());
+    const auto step = plan_next(facts);
+    return step == next_step::send_again || step == next_step::resume_from_copy;
 }
 
 void proxied_request::check_silence(std::uint32_t number) {
@@ -234,7 +251,9 @@
                            m_traffic.timers.now());
     }
     const bool is_success = head.status >= 200 && head.status < 300;
-    if (head.is_not_run) {
+    if (head.is_other_target) {
+        end_attempt(attempt_end::other_target, "status " + std::to_string(head.status));
+    } else if (head.is_not_run) {
         end_attempt(current.from_copy ? attempt_end::copy_gone : attempt_end::not_run,
                     "status " + std::to_string(head.status));
     } else if (!head.is_own) {
@@ -274,9 +293,11 @@
 void proxied_request::take_event(const stream_event& event, std::string& out) {
     auto& current = *m_attempt;
     const auto now = m_traffic.timers.now();
-    if (!std::exchange(current.has_event, true)) {
+    const bool is_first = !std::exchange(current.has_event, true);
+    if (is_first) {
         // The time to the first event says nothing about the pace.
         current.pace = {};
+        report_change(m_traffic);
         auto& usage = m_traffic.usage[current.target_id];
         usage.waiting_first -= usage.waiting_first > 0 ? 1 : 0;
         record_target_success(usage);
@@ -295,7 +316,15 @@
     if (!event.id.empty()) {
         m_last_event_id = std::string(event.id);
     }
+    if (m_last_delivery == time_point{}) {
+        m_first_event = now - m_request.received;
+    } else {
+        m_longest_gap = std::max(m_longest_gap, now - m_last_delivery);
+    }
     m_last_delivery = now;
+    if (is_first) {
+        arm_silence();
+    }
 }
 
 void proxied_request::start_stream() {
@@ -305,9 +334,6 @@
         m_traffic.sink.observe("gateway_first_event_seconds",
                                to_seconds(m_traffic.timers.now() - m_request.received));
     }
-    if (m_silence_timer == nullptr) {
-        arm_silence();
-    }
 }
 
 void proxied_request::take_end() {
@@ -327,13 +353,15 @@
     }
     if (is_event_stream || m_is_passing) {
         start_stream();
-        release_target(take_attempt(), false);
+        record_target_success(m_traffic.usage[current.target_id]);
+        release_target(take_attempt());
         m_caller.finish();
         finish("served");
         return;
     }
     const attempt done = take_attempt();
-    release_target(done, false);
+    record_target_success(m_traffic.usage[done.target_id]);
+    release_target(done);
     deliver_answer(done);
     finish("served");
 }
@@ -351,7 +379,7 @@
     return taken;
 }
 
-void proxied_request::release_target(const attempt& ended, bool target_failed) {
+void proxied_request::release_target(const attempt& ended) {
     auto& usage = m_traffic.usage[ended.target_id];
     usage.in_flight -= usage.in_flight > 0 ? 1 : 0;
     if (!ended.has_event) {
@@ -361,10 +389,31 @@
         auto& holder = m_traffic.usage[ended.copy.target_id];
         holder.copies -= holder.copies > 0 ? 1 : 0;
     }
-    if (target_failed) {
-        record_target_failure(usage, m_traffic.timers.now());
-    } else if (ended.has_head) {
-        record_target_success(usage);
+    if (is_stream()) {
+        report_change(m_traffic);
+    }
+}
+
+void proxied_request::record_health(const attempt& ended, attempt_end end) {
+    std::optional<target_trouble> trouble;
+    switch (end) {
+    case attempt_end::unreachable:
+    case attempt_end::silent:
+        trouble = target_trouble::unreachable;
+        break;
+    case attempt_end::broken:
+        trouble = target_trouble::request_failed;
+        break;
+    case attempt_end::other_target:
+        trouble = target_trouble::replaced;
+        break;
+    case attempt_end::not_run:
+    case attempt_end::failed_answer:
+    case attempt_end::copy_gone:
+        break;
+    }
+    if (trouble) {
+        record_trouble(m_traffic, m_service_name, ended.zone, ended.target_id, *trouble);
     }
 }
 
@@ -372,12 +421,17 @@
     const auto self = shared_from_this();
     attempt ended = take_attempt();
     ended.handle.cancel();
-    const bool target_failed =
-        end == attempt_end::unreachable || end == attempt_end::broken || end == attempt_end::silent;
-    release_target(ended, target_failed);
+    release_target(ended);
+    record_health(ended, end);
     const std::string target = ended.target_id;
     m_runs += may_have_run(end) ? 1 : 0;
-    m_copy = end == attempt_end::copy_gone ? memory_copy{} : ended.copy;
+    if (may_have_run(end)) {
+        // Nothing is copied before the prompt is read.
+        m_copy = ended.has_event ? ended.copy : memory_copy{};
+    } else if (ended.from_copy) {
+        // The copy is gone, or the target that holds it cannot be used.
+        m_copy = {};
+    }
     m_excluded.push_back(target);
     if (end == attempt_end::failed_answer) {
         m_failed = std::move(ended);
@@ -399,13 +453,16 @@
     facts.max_attempts = m_route->max_attempts;
     facts.has_time = time_left() > k_least_time;
     const auto now = m_traffic.timers.now();
-    if (!m_copy.target_id.empty()) {
-        const auto* holder = find_ready_target(m_traffic, m_service_name, m_copy.target_id);
-        facts.has_copy = holder != nullptr && m_traffic.usage[m_copy.target_id].avoid_until <= now;
+    const auto& copy = m_attempt ? m_attempt->copy : m_copy;
+    if (!copy.target_id.empty()) {
+        const auto* holder = find_ready_target(m_traffic, m_service_name, copy.target_id);
+        facts.has_copy = holder != nullptr && m_traffic.usage[copy.target_id].avoid_until <= now;
     }
     const auto candidates = candidates_of(m_traffic, m_service_name);
     facts.has_target = std::any_of(candidates.begin(), candidates.end(), [this](const auto& candidate) {
-        return std::find(m_excluded.begin(), m_excluded.end(), candidate.record->id) == m_excluded.end();
+        const auto& id = candidate.record->id;
+        return !(m_attempt && m_attempt->target_id == id) &&
+               std::find(m_excluded.begin(), m_excluded.end(), id) == m_excluded.end();
     });
     return facts;
 }
@@ -416,7 +473,7 @@
     if (step == next_step::send_again || step == next_step::resume_from_copy) {
         // A target that could not be reached has not received a retry either.
         facts.has_budget = end == attempt_end::unreachable ||
-                           try_spend_retry(m_traffic.retries[m_service_name], m_traffic.options.retries,
+                           try_spend_retry(m_traffic.retries[m_service_name], retry_share(m_traffic),
                                            m_traffic.timers.now());
         step = plan_next(facts);
     }
@@ -472,7 +529,7 @@
 void proxied_request::cancel_attempt() {
     const attempt cancelled = take_attempt();
     cancelled.handle.cancel();
-    release_target(cancelled, false);
+    release_target(cancelled);
 }
 
 void proxied_request::time_out() {
@@ -547,6 +604,8 @@
          {"target", m_attempt ? m_attempt->target_id : (m_excluded.empty() ? "" : m_excluded.back())},
          {"copy", m_copy.target_id},
          {"last_event", m_last_event_id},
+         {"first_event_ms", to_ms(m_first_event)},
+         {"longest_gap_ms", to_ms(m_longest_gap)},
          {"age_ms", to_ms(m_traffic.timers.now() - m_request.received)},
          {"config", m_table ? std::to_string(m_table->version) : "0"},
          {"view", std::to_string(m_traffic.view->sequence)}});
