Refuse on a planned stop what cannot end in time

Change: phases of a planned stop in core/leave_plan; streams are refused once their usual time does not fit any more; the listener and idle connections close before the end; reports tell peers who is leaving.

--- a/include/lovage/core/peer_report.h
+++ b/include/lovage/core/peer_report.h
@@ -36,6 +36,8 @@
     std::uint64_t sequence = 0;
     /// "ip:port" of the sender.
     std::string address;
+    /// The sender was asked to stop.
+    bool is_leaving = false;
     std::vector<peer_usage> usage;
     std::vector<peer_trouble> troubles;
     /// Addresses of other processes that the sender hears.
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovage/control/gateway_view.h"
+#include "lovage/core/leave_plan.h"
 #include "lovage/core/log_level.h"
 #include "lovage/core/retry_window.h"
 #include "lovage/core/target_choice.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -27,6 +29,8 @@
 struct gateway_options {
     std::string zone;
     retry_window_limits retries;
+    /// Time between the signal to stop and the kill.
+    milliseconds grace{8'000};
     /// Keys are accepted this long after the store last confirmed the configuration.
     boot_time key_trust{0};
 };
@@ -58,6 +62,10 @@
     /// Recent failures by service and zone.
     std::map<std::pair<std::string, std::string>, zone_trouble> zones;
     peer_exchange peers;
+    /// When the process was asked to stop.
+    std::optional<time_point> leaving_since;
+    /// Running mean of the time that a whole stream takes; starts with a cautious guess.
+    time_point::duration stream_time{std::chrono::seconds(5)};
     /// Requests in progress, for the news that their target is lost.
     std::set<proxied_request*> requests;
 };
@@ -82,6 +90,12 @@
 /// The share of the common retry budget that this process may spend now.
 retry_window_limits retry_share(const gateway_traffic& traffic);
 
+/// The phase of the planned stop.
+leave_phase leave_phase_of(const gateway_traffic& traffic);
+
+/// When a caller that is refused because of the stop may come back.
+milliseconds leave_retry_after(const gateway_traffic& traffic);
+
 /// Zones in which several targets of the service have been lost just now: the rest of the zone is suspect.
 std::vector<std::string> troubled_zones(gateway_traffic& traffic, const std::string& service);
 
--- a/include/lovage/traffic/peer_exchange.h
+++ b/include/lovage/traffic/peer_exchange.h
@@ -52,7 +52,8 @@
 /// Usage of a target by the processes that are heard.
 peer_usage foreign_usage(const gateway_traffic& traffic, const std::string& target_id);
 
-/// Processes that are heard, this one not counted.
+/// Processes that are heard, this one not counted; the second leaves out those that stop.
 std::size_t live_peers(const gateway_traffic& traffic);
+std::size_t serving_peers(const gateway_traffic& traffic);
 
 } // namespace lovage
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -75,6 +75,7 @@
     };
 
     void admit();
+    bool may_start() const;
     void send(bool from_copy);
     attempt_events events_of(std::uint32_t number);
     void arm_silence();
--- a/src/adapters/gateway/peer_report_udp.cpp
+++ b/src/adapters/gateway/peer_report_udp.cpp
@@ -50,7 +50,7 @@
 std::string encode_report(const peer_report& report) {
     json document{{"n", report.node},    {"b", report.started_ms}, {"s", report.sequence},
                   {"a", report.address}, {"u", json::array()},     {"t", json::array()},
-                  {"p", report.peers}};
+                  {"p", report.peers},   {"l", report.is_leaving}};
     for (const auto& usage : report.usage) {
         document["u"].push_back(to_json(usage));
     }
@@ -69,6 +69,7 @@
         report.started_ms = document.at("b").get<std::uint64_t>();
         report.sequence = document.at("s").get<std::uint64_t>();
         report.address = document.at("a").get<std::string>();
+        report.is_leaving = document.at("l").get<bool>();
         report.peers = document.at("p").get<std::vector<std::string>>();
         const auto& usage = document.at("u");
         const auto& troubles = document.at("t");
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -28,14 +28,8 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-// Callers may still be sent here until the platform has seen that this process is not ready: it asks once a
-// second and needs two answers. A request that was on its way then needs a little longer.
-constexpr milliseconds k_leave_time{3'000};
 // How often a leaving process looks whether its work is done.
 constexpr milliseconds k_leave_poll{50};
-// Requests that are still running this long before the end of the grace period are cut, so that the answers
-// that are ready leave the process.
-constexpr milliseconds k_cut_margin{300};
 // This process is not ready when the store has been silent for this part of the time for which keys are trusted.
 constexpr double k_ready_part = 0.6;
 
@@ -71,7 +65,6 @@
     std::unique_ptr<status_server> m_metrics_page;
     std::unique_ptr<peer_report_udp> m_peers;
     std::unique_ptr<gateway_control> m_control;
-    std::optional<time_point> m_leaving_since;
     bool m_was_ready = false;
 };
 
@@ -81,6 +74,7 @@
     });
     m_traffic.options.zone = settings.zone;
     m_traffic.options.retries = settings.retries;
+    m_traffic.options.grace = settings.grace;
     m_traffic.options.key_trust = settings.key_trust;
     m_traffic.targets = m_pool->port();
     m_traffic.timers = make_timers();
@@ -137,7 +131,7 @@
 bool gateway_process::is_ready() const {
     const auto& view = *m_traffic.view;
     const auto longest = std::chrono::duration_cast<boot_time>(m_settings.key_trust * k_ready_part);
-    return !m_leaving_since && view.table && view.targets &&
+    return !m_traffic.leaving_since && view.table && view.targets &&
            are_keys_trusted(view.table_confirmed, boot_now(), longest);
 }
 
@@ -157,7 +151,7 @@
         log_event(log_level::info, ready ? "ready" : "not_ready",
                   {{"view", std::to_string(m_traffic.view->sequence)},
                    {"has_config", m_traffic.view->table ? "true" : "false"},
-                   {"leaving", m_leaving_since ? "true" : "false"}});
+                   {"leaving", m_traffic.leaving_since ? "true" : "false"}});
     }
     return {ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n"};
 }
@@ -238,17 +232,19 @@
 }
 
 void gateway_process::leave() {
-    m_leaving_since = monotonic_now();
+    m_traffic.leaving_since = monotonic_now();
     m_callers->leave();
+    report_change(m_traffic);
     poll_leave();
 }
 
 void gateway_process::poll_leave() {
-    const auto waited = monotonic_now() - *m_leaving_since;
-    const bool is_done = waited >= k_leave_time && m_traffic.requests.empty();
-    if (is_done || waited >= m_settings.grace - k_cut_margin) {
-        log_event(log_level::info, "stopped", {{"requests_cut", std::to_string(m_traffic.requests.size())}});
+    const auto phase = leave_phase_of(m_traffic);
+    if (phase != leave_phase::leaving) {
         m_callers->close_idle();
+    }
+    if (phase == leave_phase::stopped) {
+        log_event(log_level::info, "stopped", {{"requests_cut", std::to_string(m_traffic.requests.size())}});
         m_control.reset();
         m_io.stop();
         return;
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -36,6 +36,25 @@
     }
 }
 
+leave_phase leave_phase_of(const gateway_traffic& traffic) {
+    if (!traffic.leaving_since) {
+        return leave_phase::serving;
+    }
+    return plan_leave({traffic.timers.now() - *traffic.leaving_since, traffic.options.grace,
+                       traffic.requests.size()});
+}
+
+milliseconds leave_retry_after(const gateway_traffic& traffic) {
+    // Time until a restarted process serves again.
+    constexpr milliseconds k_restart_time{1'200};
+    constexpr milliseconds k_elsewhere{100};
+    if (serving_peers(traffic) > 0) {
+        return k_elsewhere;
+    }
+    const auto waited = traffic.timers.now() - *traffic.leaving_since;
+    return std::chrono::duration_cast<milliseconds>(traffic.options.grace - waited) + k_restart_time;
+}
+
 retry_window_limits retry_share(const gateway_traffic& traffic) {
     // A process that hears no other may be alone, or cut off from many.
     constexpr std::size_t k_assumed_processes = 10;
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -33,6 +33,7 @@
     report.address = exchange.address;
     report.started_ms = exchange.started_ms;
     report.sequence = ++exchange.sequence;
+    report.is_leaving = traffic.leaving_since.has_value();
     for (const auto& [id, usage] : traffic.usage) {
         if (report.usage.size() < k_max_usage && (usage.in_flight > 0 || usage.copies > 0)) {
             report.usage.push_back({id, usage.in_flight, usage.waiting_first, usage.copies});
@@ -79,7 +80,7 @@
 }
 
 bool is_live(const known_peer& peer, time_point now) {
-    return peer.received != time_point{} && now - peer.received <= k_peer_life;
+    return !peer.report.node.empty() && now - peer.received <= k_peer_life;
 }
 
 } // namespace
@@ -173,10 +174,17 @@
 }
 
 std::size_t live_peers(const gateway_traffic& traffic) {
+    const auto now = traffic.timers.now();
+    return static_cast<std::size_t>(
+        std::count_if(traffic.peers.peers.begin(), traffic.peers.peers.end(),
+                      [now](const auto& entry) { return is_live(entry.second, now); }));
+}
+
+std::size_t serving_peers(const gateway_traffic& traffic) {
     const auto now = traffic.timers.now();
     return static_cast<std::size_t>(
         std::count_if(traffic.peers.peers.begin(), traffic.peers.peers.end(), [now](const auto& entry) {
-            return !entry.second.report.node.empty() && is_live(entry.second, now);
+            return is_live(entry.second, now) && !entry.second.report.is_leaving;
         }));
 }
 
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds k_least_time{30};
 // A request at a target that was found silent does not wait on if it has received nothing for this long.
 constexpr milliseconds k_suspected_silence{120};
+// Streams over which their time is averaged.
+constexpr int k_stream_time_streams = 8;
 // When refused callers may come back.
 constexpr milliseconds k_retry_after{200};
 
@@ -94,6 +96,10 @@
         return;
     }
     m_route = decision.route;
+    if (!may_start()) {
+        refuse(error_kind::leaving, std::string(name_of(k_leave_phase_names, leave_phase_of(m_traffic))));
+        return;
+    }
     m_organisation = decision.organisation;
     m_service_name =
         choose_service(*m_route, std::uniform_real_distribution<double>(0.0, 1.0)(m_traffic.random));
@@ -110,6 +116,16 @@
     send(false);
 }
 
+bool proxied_request::may_start() const {
+    const auto phase = leave_phase_of(m_traffic);
+    if (phase == leave_phase::serving) {
+        return true;
+    }
+    const auto waited = m_traffic.timers.now() - *m_traffic.leaving_since;
+    return phase == leave_phase::leaving &&
+           (!is_stream() || can_end_in_time(waited, m_traffic.options.grace, m_traffic.stream_time));
+}
+
 milliseconds proxied_request::time_left() const {
     return std::chrono::duration_cast<milliseconds>(m_ends - m_traffic.timers.now());
 }
@@ -353,6 +369,8 @@
     }
     if (is_event_stream || m_is_passing) {
         start_stream();
+        const auto taken = m_traffic.timers.now() - m_request.received;
+        m_traffic.stream_time += (taken - m_traffic.stream_time) / k_stream_time_streams;
         record_target_success(m_traffic.usage[current.target_id]);
         release_target(take_attempt());
         m_caller.finish();
@@ -521,7 +539,10 @@
         // The request may have run, so its answer must not state otherwise.
         own.kind = kind == error_kind::deadline_exceeded ? error_kind::outcome_late : error_kind::target_failed;
     }
-    own.retry_after = answer.retryable && own.is_not_run ? k_retry_after : milliseconds(0);
+    if (answer.retryable && own.is_not_run) {
+        own.retry_after =
+            kind == error_kind::leaving ? leave_retry_after(m_traffic) : k_retry_after;
+    }
     m_caller.reply(own);
     finish(to_string(own.kind), detail);
 }
