Try: patience for the first event by measured reading speed; refuse streams that cannot end in time

Cause: answers that are lost leave a stream without a first event for 2.5 s; retries after a loss of power have too little time left for their prompt, which is read in vain. Streams that wait behind other prompts are sent to another engine, which reads the prompt again and delays others there.

--- a/include/lovage/adapters/gateway/caller_server.h
+++ b/include/lovage/adapters/gateway/caller_server.h
@@ -23,7 +23,7 @@
 /// The callers' HTTP/1.1 door. All calls on the io_context's thread.
 class caller_server {
 public:
-    /// Listens. Fails with `invalid_settings` if the address cannot be used.
+    /// Listens, but takes no connection before `accept`. Fails with `invalid_settings` if the address cannot be used.
     static result<std::unique_ptr<caller_server>> start(boost::asio::io_context& io,
                                                         caller_server_options options, request_codec codec,
                                                         gateway_traffic& traffic);
@@ -31,6 +31,8 @@
     caller_server(const caller_server&) = delete;
     caller_server& operator=(const caller_server&) = delete;
 
+    /// Starts to take connections; harmless when it has started.
+    void accept();
     /// Requests go on to be served, but each answer is the last of its connection.
     void leave();
     /// Stops to listen and closes connections without a request.
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -4,6 +4,7 @@
 #include "lovage/core/leave_plan.h"
 #include "lovage/core/log_level.h"
 #include "lovage/core/retry_window.h"
+#include "lovage/core/stream_estimate.h"
 #include "lovage/core/target_choice.h"
 #include "lovage/ports/target_port.h"
 #include "lovage/ports/timer_port.h"
@@ -59,6 +60,7 @@
     gateway_view_ptr view = std::make_shared<gateway_view>();
     std::unordered_map<std::string, target_usage> usage;
     std::unordered_map<std::string, retry_window> retries;
+    std::unordered_map<std::string, engine_speed> speeds;
     /// Recent failures by service and zone.
     std::map<std::pair<std::string, std::string>, zone_trouble> zones;
     peer_exchange peers;
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -29,6 +29,8 @@
     std::string last_event_id;
     /// Tokens of the prompt; 0 if the request has none.
     std::uint64_t prompt_tokens = 0;
+    /// Most tokens of the answer; 0 if the request does not say.
+    std::uint64_t answer_tokens = 0;
     time_point received{};
 };
 
@@ -76,6 +78,7 @@
 
     void admit();
     bool may_start() const;
+    bool can_end_before_deadline() const;
     void send(bool from_copy);
     attempt_events events_of(std::uint32_t number);
     void arm_silence();
@@ -89,6 +92,7 @@
     void release_target(const attempt& ended);
     void record_health(const attempt& ended, attempt_end end);
     bool can_go_on_elsewhere();
+    milliseconds patience() const;
     void cancel_attempt();
     void follow_plan(attempt_end end, const std::string& detail);
     attempt_facts facts_of(attempt_end end);
--- a/src/adapters/gateway/caller_server.cpp
+++ b/src/adapters/gateway/caller_server.cpp
@@ -33,6 +33,7 @@
     tcp::acceptor acceptor;
     asio::steady_timer pause;
     std::set<caller_session*> sessions;
+    bool is_accepting = false;
 
     void accept();
     void take(tcp::socket socket);
@@ -98,10 +99,15 @@
                                                       std::to_string(own.options.port) + ": " +
                                                       failure.message());
     }
-    own.accept();
     return server;
 }
 
+void caller_server::accept() {
+    if (!std::exchange(m_state->is_accepting, true)) {
+        m_state->accept();
+    }
+}
+
 void caller_server::leave() {
     m_state->host.is_leaving = true;
 }
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -28,6 +28,9 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+// Callers wait this long for a process that has just started to learn its configuration; then they are told to
+// come back.
+constexpr milliseconds k_accept_delay{400};
 // How often a leaving process looks whether its work is done.
 constexpr milliseconds k_leave_poll{50};
 // This process is not ready when the store has been silent for this part of the time for which keys are trusted.
@@ -56,6 +59,7 @@
     asio::signal_set m_stop_signals{m_io, SIGTERM, SIGINT};
     asio::signal_set m_reload_signals{m_io, SIGHUP};
     asio::steady_timer m_leave_timer{m_io};
+    asio::steady_timer m_accept_timer{m_io};
     metrics m_metrics;
     request_codec m_codec = platform::make_request_codec();
     gateway_traffic m_traffic;
@@ -122,7 +126,12 @@
     ports.operators_store = platform::make_store_kv({m_settings.store_address, milliseconds(1'000)}, on_call);
     ports.targets_store = platform::make_store_kv({m_settings.store_address, milliseconds(1'000)}, on_call);
     ports.publish = [this](gateway_view_ptr view) {
-        asio::post(m_io, [this, view = std::move(view)]() mutable { take_view(m_traffic, std::move(view)); });
+        asio::post(m_io, [this, view = std::move(view)]() mutable {
+            take_view(m_traffic, std::move(view));
+            if (m_traffic.view->table && m_traffic.view->targets) {
+                m_callers->accept();
+            }
+        });
     };
     ports.log = [](const belief_log& line) { log_event(line.level, line.event, line.fields); };
     return ports;
@@ -180,6 +189,12 @@
     if (const auto joined = start_peers(); !joined) {
         return joined;
     }
+    m_accept_timer.expires_after(k_accept_delay);
+    m_accept_timer.async_wait([this](const error_code& cancelled) {
+        if (!cancelled) {
+            m_callers->accept();
+        }
+    });
     m_control = gateway_control::start(make_control_ports());
     wait_for_signal();
     log_event(log_level::info, "started",
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -110,6 +110,10 @@
         allowed = std::min(allowed, m_request.deadline);
     }
     m_ends = m_request.received + allowed;
+    if (!can_end_before_deadline()) {
+        refuse(error_kind::deadline_unreachable, "the stream would end after its deadline");
+        return;
+    }
     m_deadline_timer = m_traffic.timers.after(std::max(time_left(), milliseconds(0)),
                                               [self = shared_from_this()] { self->time_out(); });
     record_first_send(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
@@ -126,6 +130,17 @@
            (!is_stream() || can_end_in_time(waited, m_traffic.options.grace, m_traffic.stream_time));
 }
 
+bool proxied_request::can_end_before_deadline() const {
+    const auto speed = m_traffic.speeds.find(m_service_name);
+    if (!is_stream() || speed == m_traffic.speeds.end() || m_service == nullptr || !m_service->engine) {
+        return true;
+    }
+    const auto events = m_request.answer_tokens / std::max(m_service->engine->tokens_per_event, 1U);
+    const auto done = event_number(m_request.last_event_id).value_or(0);
+    const stream_work work{m_request.prompt_tokens, events > done ? events - done : 0};
+    return least_time(speed->second, work) <= m_ends - m_traffic.timers.now();
+}
+
 milliseconds proxied_request::time_left() const {
     return std::chrono::duration_cast<milliseconds>(m_ends - m_traffic.timers.now());
 }
@@ -226,7 +241,7 @@
     } else if (current.has_event) {
         limit = silence_limit(current.pace, m_route->longest_gap);
     } else {
-        limit = current.from_copy ? k_first_event_from_copy : part_of(m_route->objective, k_first_event_part);
+        limit = current.from_copy ? k_first_event_from_copy : patience();
     }
     const auto waited = m_traffic.timers.now() - current.pace.last;
     const auto left = std::chrono::ceil<milliseconds>(limit - waited);
@@ -239,6 +254,15 @@
         left > milliseconds(0) ? left : limit, [self = shared_from_this(), number = current.number] { self->check_silence(number); });
 }
 
+milliseconds proxied_request::patience() const {
+    const time_point::duration longest = part_of(m_route->objective, k_first_event_part);
+    const auto speed = m_traffic.speeds.find(m_service_name);
+    return speed == m_traffic.speeds.end()
+               ? std::chrono::duration_cast<milliseconds>(longest)
+               : std::chrono::duration_cast<milliseconds>(
+                     first_event_patience(speed->second, m_request.prompt_tokens, longest));
+}
+
 bool proxied_request::can_go_on_elsewhere() {
     auto facts = facts_of(attempt_end::silent);
     ++facts.runs;
@@ -310,7 +334,13 @@
     auto& current = *m_attempt;
     const auto now = m_traffic.timers.now();
     const bool is_first = !std::exchange(current.has_event, true);
-    if (is_first) {
+    auto& speed = m_traffic.speeds[m_service_name];
+    if (!is_first) {
+        record_event_gap(speed, now - current.pace.last);
+    } else {
+        if (!current.from_copy) {
+            record_first_event(speed, m_request.prompt_tokens, now - current.started);
+        }
         // The time to the first event says nothing about the pace.
         current.pace = {};
         report_change(m_traffic);
