--- a/include/lovage/core/route_table.h
+++ b/include/lovage/core/route_table.h
@@ -58,8 +58,6 @@
     std::uint64_t memory_tokens = 0;
     /// Whether an engine sends copies of a generation's memory to another engine while it runs.
     bool sends_copies = false;
-    /// Tokens in one event of a stream.
-    std::uint32_t tokens_per_event = 1;
 };
 
 struct service_definition {
--- a/include/lovage/core/target_choice.h
+++ b/include/lovage/core/target_choice.h
@@ -66,14 +66,16 @@
 enum class target_trouble : std::uint8_t {
     /// One request went wrong.
     request_failed,
-    /// Nothing listens there, or nothing answers.
+    /// One request has received nothing for too long; others may be fine.
+    silent,
+    /// Nothing listens there, or connections are not answered.
     unreachable,
     /// Another target has the address.
     replaced,
 };
-inline constexpr std::size_t k_target_trouble_count = 3;
-inline constexpr enum_names<k_target_trouble_count> k_target_trouble_names{"request_failed", "unreachable",
-                                                                           "replaced"};
+inline constexpr std::size_t k_target_trouble_count = 4;
+inline constexpr enum_names<k_target_trouble_count> k_target_trouble_names{"request_failed", "silent",
+                                                                           "unreachable", "replaced"};
 
 /// Keeps new work away from the target for a while; longer after failures in a row.
 void record_target_failure(target_usage& usage, target_trouble trouble, time_point now);
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -4,7 +4,6 @@
 #include "lovage/core/leave_plan.h"
 #include "lovage/core/log_level.h"
 #include "lovage/core/retry_window.h"
-#include "lovage/core/stream_estimate.h"
 #include "lovage/core/target_choice.h"
 #include "lovage/ports/target_port.h"
 #include "lovage/ports/timer_port.h"
@@ -60,7 +59,6 @@
     gateway_view_ptr view = std::make_shared<gateway_view>();
     std::unordered_map<std::string, target_usage> usage;
     std::unordered_map<std::string, retry_window> retries;
-    std::unordered_map<std::string, engine_speed> speeds;
     /// Recent failures by service and zone.
     std::map<std::pair<std::string, std::string>, zone_trouble> zones;
     peer_exchange peers;
@@ -104,8 +102,8 @@
 /// Whether requests with a key may be served now.
 bool can_trust_keys(const gateway_traffic& traffic);
 
-/// A stream at the target fell silent: other requests there that have received nothing for a while do not
-/// wait for their own limit.
-void report_silent_target(gateway_traffic& traffic, const std::string& target_id);
+/// A target is lost, or a stream there fell silent (not certain): other requests there that have received
+/// nothing for a while do not wait for their own limit.
+void report_lost_target(gateway_traffic& traffic, const std::string& target_id, bool is_certain);
 
 } // namespace lovage
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -29,8 +29,6 @@
     std::string last_event_id;
     /// Tokens of the prompt; 0 if the request has none.
     std::uint64_t prompt_tokens = 0;
-    /// Most tokens of the answer; 0 if the request does not say.
-    std::uint64_t answer_tokens = 0;
     time_point received{};
 };
 
@@ -51,9 +49,10 @@
     /// The caller has taken bytes; reading goes on if it was paused.
     void caller_drained();
 
-    /// Whether the request waits at this target and has received nothing for a while.
-    bool is_waiting_at(const std::string& target_id) const;
-    void target_lost(const std::string& target_id);
+    /// Whether the request waits at this target and has received nothing for a while; a shorter while if it is
+    /// certain that the target is lost.
+    bool is_stuck_at(const std::string& target_id, bool is_certain) const;
+    void target_lost(const std::string& target_id, bool is_certain);
 
 private:
     proxied_request(gateway_traffic& traffic, caller_request request, caller_port caller,
@@ -78,7 +77,6 @@
 
     void admit();
     bool may_start() const;
-    bool can_end_before_deadline() const;
     void send(bool from_copy);
     attempt_events events_of(std::uint32_t number);
     void arm_silence();
@@ -92,7 +90,7 @@
     void release_target(const attempt& ended);
     void record_health(const attempt& ended, attempt_end end);
     bool can_go_on_elsewhere();
-    milliseconds patience() const;
+    milliseconds first_event_patience() const;
     void cancel_attempt();
     void follow_plan(attempt_end end, const std::string& detail);
     attempt_facts facts_of(attempt_end end);
--- a/src/core/stream_silence.cpp
+++ b/src/core/stream_silence.cpp
@@ -11,7 +11,7 @@
 // Gaps of this many times the mean are taken as a loss, within the limits below.
 constexpr double k_mean_gaps = 6.0;
 // A prompt read beside a stream stretches its gaps to about 200 ms.
-constexpr double k_shortest_ms = 300.0;
+constexpr double k_shortest_ms = 350.0;
 // Part of the longest gap that the detection may use; connecting and the first new event need the rest.
 constexpr double k_detection_part = 0.55;
 // Limit for routes without a longest gap.
--- a/src/core/target_choice.cpp
+++ b/src/core/target_choice.cpp
@@ -22,7 +22,7 @@
 // How long a target is avoided after the first failure of each kind. One that nothing listens at restarts
 // within a few seconds, and then registers anew; one that was replaced never comes back under its id.
 constexpr std::array<milliseconds, k_target_trouble_count> k_avoidances{
-    milliseconds(400), milliseconds(1'500), milliseconds(10'000)};
+    milliseconds(400), milliseconds(1'500), milliseconds(1'500), milliseconds(10'000)};
 // Doubling stops here.
 constexpr milliseconds k_longest_avoidance{10'000};
 constexpr std::uint32_t k_most_doublings = 5;
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -31,8 +31,8 @@
     if (trouble.trouble != target_trouble::replaced) {
         traffic.zones[{trouble.service, trouble.zone}].failed[trouble.target_id] = now;
     }
-    if (trouble.trouble == target_trouble::unreachable) {
-        report_silent_target(traffic, trouble.target_id);
+    if (trouble.trouble == target_trouble::unreachable || trouble.trouble == target_trouble::silent) {
+        report_lost_target(traffic, trouble.target_id, trouble.trouble == target_trouble::unreachable);
     }
 }
 
@@ -146,16 +146,16 @@
     return are_keys_trusted(traffic.view->table_confirmed, traffic.boot_clock(), traffic.options.key_trust);
 }
 
-void report_silent_target(gateway_traffic& traffic, const std::string& target_id) {
+void report_lost_target(gateway_traffic& traffic, const std::string& target_id, bool is_certain) {
     // Handling the news changes the set of requests.
     std::vector<std::shared_ptr<proxied_request>> affected;
     for (auto* request : traffic.requests) {
-        if (request->is_waiting_at(target_id)) {
+        if (request->is_stuck_at(target_id, is_certain)) {
             affected.push_back(request->shared_from_this());
         }
     }
     for (const auto& request : affected) {
-        request->target_lost(target_id);
+        request->target_lost(target_id, is_certain);
     }
 }
 
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -14,6 +14,8 @@
 // Part of the objective after which a stream without a first event is tried at another target; the rest is
 // enough to read the prompt again.
 constexpr double k_first_event_part = 0.55;
+// The same while the engine reads other prompts too: to move a prompt then only moves the load.
+constexpr double k_busy_first_event_part = 0.85;
 // An engine that goes on from a copy reads only the last few tokens again.
 constexpr milliseconds k_first_event_from_copy{450};
 // Silence of an idempotent request's target, as a part of its objective and of its timeout.
@@ -21,8 +23,10 @@
 constexpr double k_answer_timeout_part = 0.55;
 // Less time than this is no use to a target.
 constexpr milliseconds k_least_time{30};
-// A request at a target that was found silent does not wait on if it has received nothing for this long.
-constexpr milliseconds k_suspected_silence{120};
+// A request at a target that was found lost does not wait on if it has received nothing for this long. A prompt
+// that is read beside a stream stretches its gaps to about 200 ms, so one silent stream says less of the others.
+constexpr milliseconds k_silence_at_lost_target{120};
+constexpr milliseconds k_silence_at_silent_target{260};
 // Streams over which their time is averaged.
 constexpr int k_stream_time_streams = 8;
 // When refused callers may come back.
@@ -110,10 +114,6 @@
         allowed = std::min(allowed, m_request.deadline);
     }
     m_ends = m_request.received + allowed;
-    if (!can_end_before_deadline()) {
-        refuse(error_kind::deadline_unreachable, "the stream would end after its deadline");
-        return;
-    }
     m_deadline_timer = m_traffic.timers.after(std::max(time_left(), milliseconds(0)),
                                               [self = shared_from_this()] { self->time_out(); });
     record_first_send(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
@@ -130,17 +130,6 @@
            (!is_stream() || can_end_in_time(waited, m_traffic.options.grace, m_traffic.stream_time));
 }
 
-bool proxied_request::can_end_before_deadline() const {
-    const auto speed = m_traffic.speeds.find(m_service_name);
-    if (!is_stream() || speed == m_traffic.speeds.end() || m_service == nullptr || !m_service->engine) {
-        return true;
-    }
-    const auto events = m_request.answer_tokens / std::max(m_service->engine->tokens_per_event, 1U);
-    const auto done = event_number(m_request.last_event_id).value_or(0);
-    const stream_work work{m_request.prompt_tokens, events > done ? events - done : 0};
-    return least_time(speed->second, work) <= m_ends - m_traffic.timers.now();
-}
-
 milliseconds proxied_request::time_left() const {
     return std::chrono::duration_cast<milliseconds>(m_ends - m_traffic.timers.now());
 }
@@ -241,7 +230,7 @@
     } else if (current.has_event) {
         limit = silence_limit(current.pace, m_route->longest_gap);
     } else {
-        limit = current.from_copy ? k_first_event_from_copy : patience();
+        limit = current.from_copy ? k_first_event_from_copy : first_event_patience();
     }
     const auto waited = m_traffic.timers.now() - current.pace.last;
     const auto left = std::chrono::ceil<milliseconds>(limit - waited);
@@ -254,13 +243,12 @@
         left > milliseconds(0) ? left : limit, [self = shared_from_this(), number = current.number] { self->check_silence(number); });
 }
 
-milliseconds proxied_request::patience() const {
-    const time_point::duration longest = part_of(m_route->objective, k_first_event_part);
-    const auto speed = m_traffic.speeds.find(m_service_name);
-    return speed == m_traffic.speeds.end()
-               ? std::chrono::duration_cast<milliseconds>(longest)
-               : std::chrono::duration_cast<milliseconds>(
-                     first_event_patience(speed->second, m_request.prompt_tokens, longest));
+milliseconds proxied_request::first_event_patience() const {
+    const auto& target = m_attempt->target_id;
+    const auto own = m_traffic.usage.find(target);
+    const auto waiting = (own != m_traffic.usage.end() ? own->second.waiting_first : 0) +
+                         foreign_usage(m_traffic, target).waiting_first;
+    return part_of(m_route->objective, waiting > 1 ? k_busy_first_event_part : k_first_event_part);
 }
 
 bool proxied_request::can_go_on_elsewhere() {
@@ -334,13 +322,7 @@
     auto& current = *m_attempt;
     const auto now = m_traffic.timers.now();
     const bool is_first = !std::exchange(current.has_event, true);
-    auto& speed = m_traffic.speeds[m_service_name];
-    if (!is_first) {
-        record_event_gap(speed, now - current.pace.last);
-    } else {
-        if (!current.from_copy) {
-            record_first_event(speed, m_request.prompt_tokens, now - current.started);
-        }
+    if (is_first) {
         // The time to the first event says nothing about the pace.
         current.pace = {};
         report_change(m_traffic);
@@ -446,9 +428,11 @@
     std::optional<target_trouble> trouble;
     switch (end) {
     case attempt_end::unreachable:
-    case attempt_end::silent:
         trouble = target_trouble::unreachable;
         break;
+    case attempt_end::silent:
+        trouble = target_trouble::silent;
+        break;
     case attempt_end::broken:
         trouble = target_trouble::request_failed;
         break;
@@ -485,8 +469,8 @@
         m_failed = std::move(ended);
     }
     follow_plan(end, detail + " at " + target);
-    if (end == attempt_end::silent && is_stream()) {
-        report_silent_target(m_traffic, target);
+    if (end == attempt_end::unreachable || (end == attempt_end::silent && is_stream())) {
+        report_lost_target(m_traffic, target, end == attempt_end::unreachable);
     }
 }
 
@@ -611,14 +595,19 @@
     }
 }
 
-bool proxied_request::is_waiting_at(const std::string& target_id) const {
-    return !m_is_done && m_attempt && m_attempt->target_id == target_id && m_route->is_repeatable() &&
-           m_traffic.timers.now() - m_attempt->pace.last > k_suspected_silence;
+bool proxied_request::is_stuck_at(const std::string& target_id, bool is_certain) const {
+    if (m_is_done || !m_attempt || m_attempt->target_id != target_id || !m_route->is_repeatable()) {
+        return false;
+    }
+    // An engine that reads a prompt sends nothing, which shows no loss.
+    const bool may_be_reading = is_stream() && !m_attempt->has_event;
+    const auto limit = is_certain ? k_silence_at_lost_target : k_silence_at_silent_target;
+    return (is_certain || !may_be_reading) && m_traffic.timers.now() - m_attempt->pace.last > limit;
 }
 
-void proxied_request::target_lost(const std::string& target_id) {
-    if (is_waiting_at(target_id)) {
-        end_attempt(attempt_end::silent, "another stream there fell silent");
+void proxied_request::target_lost(const std::string& target_id, bool is_certain) {
+    if (is_stuck_at(target_id, is_certain) && can_go_on_elsewhere()) {
+        end_attempt(attempt_end::silent, "another request found its target lost");
     }
 }
 
