--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -26,8 +26,8 @@
     bool is_whole = false;
     std::vector<store_change> changes;
     std::uint64_t revision = 0;
-    /// When the call was sent: the content is at least as new.
-    boot_time asked{0};
+    /// The content is at least as new as this.
+    boot_time confirmed{0};
 };
 
 /// A target and what is known of its entry.
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -57,7 +57,7 @@
 followed_event gateway_control::state::read_whole(const store_port& store, const std::string& prefix) {
     followed_event event;
     event.is_whole = true;
-    event.asked = boot_now();
+    event.confirmed = boot_now();
     std::string after;
     bool has_more = true;
     while (has_more) {
@@ -87,9 +87,14 @@
         if (revision == 0) {
             event = read_whole(store, prefix);
         } else {
-            event.asked = boot_now();
+            const auto asked = boot_now();
             auto changes = store.watch_prefix(prefix, revision, pace.wait);
+            event.confirmed = asked;
             if (changes) {
+                if (changes->changes.empty() && boot_now() - asked >= pace.wait) {
+                    // The store has waited for changes until the end and has seen none.
+                    event.confirmed = asked + pace.wait;
+                }
                 event.revision = changes->revision;
                 event.changes = std::move(changes->changes);
             } else {
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -206,7 +206,7 @@
     for (const auto& change : event.changes) {
         take_operator_change(state, change);
     }
-    state.table_confirmed = std::max(state.table_confirmed, event.asked);
+    state.table_confirmed = std::max(state.table_confirmed, event.confirmed);
 }
 
 time_point expire_targets(gateway_state& state, time_point now) {
