Ask a silent engine about the request before giving it up

Cause: a fixed patience for the first event moved prompts away from engines that were only busy and left streams whose answer was lost waiting; 350 ms of silence can be a busy engine. Change: core/silence_plan decides from the silence and the engine's own report (absent, unlisted, present with a count of events); target_probe asks; a request that is being read is waited for, one whose events should have come is not.

--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovage/core/attempt_plan.h"
+#include "lovage/core/silence_plan.h"
 #include "lovage/core/time.h"
 
 #include <cstddef>
@@ -97,6 +98,12 @@
     std::function<void(bool paused)> pause;
 };
 
+/// How a target is asked what it does for a request.
+struct status_question {
+    std::shared_ptr<const forwarded_request> request;
+    std::function<run_status(const std::string& body, const std::string& request_id)> decode;
+};
+
 /// The way to targets. Called on the traffic thread; does not block.
 struct target_port {
     std::function<attempt_handle(std::shared_ptr<const forwarded_request>, attempt_order, attempt_events)> open;
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -3,6 +3,7 @@
 #include "lovage/core/attempt_plan.h"
 #include "lovage/core/event_splitter.h"
 #include "lovage/core/route_table.h"
+#include "lovage/core/silence_plan.h"
 #include "lovage/core/stream_silence.h"
 #include "lovage/ports/caller_port.h"
 #include "lovage/ports/target_port.h"
@@ -63,12 +64,16 @@
         std::uint32_t number = 0;
         std::string target_id;
         std::string zone;
+        std::string address;
         memory_copy copy;
         bool from_copy = false;
         time_point started{};
         attempt_handle handle;
         bool has_head = false;
         bool has_event = false;
+        /// The target is being asked about the request, and what it has said during this silence.
+        bool is_asking = false;
+        std::optional<run_status> status;
         answer_head head;
         std::string body;
         event_splitter events;
@@ -79,8 +84,9 @@
     bool may_start() const;
     void send(bool from_copy);
     attempt_events events_of(std::uint32_t number);
-    void arm_silence();
-    void check_silence(std::uint32_t number);
+    silence_facts silence_of(const attempt& current) const;
+    void watch_silence();
+    void ask_target();
     void take_head(const answer_head& head);
     void take_body(std::string_view bytes);
     void take_event(const stream_event& event, std::string& out);
@@ -90,7 +96,6 @@
     void release_target(const attempt& ended);
     void record_health(const attempt& ended, attempt_end end);
     bool can_go_on_elsewhere();
-    milliseconds first_event_patience() const;
     void cancel_attempt();
     void follow_plan(attempt_end end, const std::string& detail);
     attempt_facts facts_of(attempt_end end);
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -1,5 +1,7 @@
 #include "lovage/traffic/proxied_request.h"
 
+#include "lovage/traffic/target_probe.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -14,8 +16,10 @@
 // Part of the objective after which a stream without a first event is tried at another target; the rest is
 // enough to read the prompt again.
 constexpr double k_first_event_part = 0.55;
-// The same while the engine reads other prompts too: to move a prompt then only moves the load.
-constexpr double k_busy_first_event_part = 0.85;
+// Part of the objective after which an engine is asked whether it reads the prompt.
+constexpr double k_ask_first_event_part = 0.3;
+// Part of a silence that is left for the question and its answer.
+constexpr milliseconds k_time_to_ask{100};
 // An engine that goes on from a copy reads only the last few tokens again.
 constexpr milliseconds k_first_event_from_copy{450};
 // Silence of an idempotent request's target, as a part of its objective and of its timeout.
@@ -172,6 +176,7 @@
     next.number = ++m_attempts;
     next.target_id = record->id;
     next.zone = record->zone;
+    next.address = record->address;
     next.from_copy = from_copy;
     next.started = want.now;
     next.pace.last = want.now;
@@ -195,7 +200,7 @@
     if (is_stream()) {
         report_change(m_traffic);
     }
-    arm_silence();
+    watch_silence();
 }
 
 attempt_events proxied_request::events_of(std::uint32_t number) {
@@ -217,38 +222,75 @@
     return events;
 }
 
-void proxied_request::arm_silence() {
-    cancel_timer(m_silence_timer);
-    if (!m_route->is_repeatable()) {
-        return;
-    }
-    const auto& current = *m_attempt;
-    milliseconds limit{0};
+silence_facts proxied_request::silence_of(const attempt& current) const {
+    silence_facts facts;
+    facts.has_event = current.has_event;
+    facts.last_event = event_number(m_last_event_id).value_or(0);
+    facts.silence = m_traffic.timers.now() - current.pace.last;
+    facts.status = current.status;
     if (!is_stream()) {
-        limit = std::min(part_of(m_route->objective, k_answer_objectives),
-                         part_of(m_route->timeout, k_answer_timeout_part));
+        facts.give_up_after = std::min(part_of(m_route->objective, k_answer_objectives),
+                                       part_of(m_route->timeout, k_answer_timeout_part));
     } else if (current.has_event) {
-        limit = silence_limit(current.pace, m_route->longest_gap);
+        facts.give_up_after = silence_limit(current.pace, m_route->longest_gap);
+    } else {
+        facts.give_up_after =
+            current.from_copy ? k_first_event_from_copy : part_of(m_route->objective, k_first_event_part);
+    }
+    facts.ask_after = facts.give_up_after;
+    if (is_stream() && m_traffic.status_question.request) {
+        facts.ask_after = current.has_event || current.from_copy
+                              ? facts.give_up_after - k_time_to_ask
+                              : part_of(m_route->objective, k_ask_first_event_part);
     } else {
-        limit = current.from_copy ? k_first_event_from_copy : first_event_patience();
+        facts.status = run_status{run_state::not_told, 0};
     }
-    const auto waited = m_traffic.timers.now() - current.pace.last;
-    const auto left = std::chrono::ceil<milliseconds>(limit - waited);
-    if (left <= milliseconds(0) && can_go_on_elsewhere()) {
-        end_attempt(attempt_end::silent, "silent for " + to_ms(waited) + " ms");
+    return facts;
+}
+
+void proxied_request::watch_silence() {
+    cancel_timer(m_silence_timer);
+    if (!m_route->is_repeatable() || m_attempt->is_asking) {
         return;
     }
-    // Without another way the request goes on waiting until its deadline.
+    const auto facts = silence_of(*m_attempt);
+    auto decision = decide_silence(facts);
+    if (decision.step == silence_step::give_up) {
+        if (can_go_on_elsewhere()) {
+            const auto state = facts.status ? facts.status->state : run_state::not_told;
+            end_attempt(attempt_end::silent, "silent for " + to_ms(facts.silence) + " ms, run " +
+                                                 std::string(name_of(k_run_state_names, state)));
+            return;
+        }
+        // Without another way the request goes on waiting until its deadline.
+        decision.look_at = std::chrono::ceil<milliseconds>(facts.silence) + facts.give_up_after;
+    }
+    if (decision.step == silence_step::ask) {
+        ask_target();
+        return;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(decision.look_at - facts.silence);
     m_silence_timer = m_traffic.timers.after(
-        left > milliseconds(0) ? left : limit, [self = shared_from_this(), number = current.number] { self->check_silence(number); });
+        std::max(left, milliseconds(1)), [self = shared_from_this(), number = m_attempt->number] {
+            self->m_silence_timer = nullptr;
+            if (!self->m_is_done && self->m_attempt && self->m_attempt->number == number) {
+                self->m_attempt->status.reset();
+                self->watch_silence();
+            }
+        });
 }
 
-milliseconds proxied_request::first_event_patience() const {
-    const auto& target = m_attempt->target_id;
-    const auto own = m_traffic.usage.find(target);
-    const auto waiting = (own != m_traffic.usage.end() ? own->second.waiting_first : 0) +
-                         foreign_usage(m_traffic, target).waiting_first;
-    return part_of(m_route->objective, waiting > 1 ? k_busy_first_event_part : k_first_event_part);
+void proxied_request::ask_target() {
+    m_attempt->is_asking = true;
+    probe_run(m_traffic, m_attempt->address, m_request.forwarded->id,
+              [self = shared_from_this(), number = m_attempt->number](run_status status) {
+                  if (self->m_is_done || !self->m_attempt || self->m_attempt->number != number) {
+                      return;
+                  }
+                  self->m_attempt->is_asking = false;
+                  self->m_attempt->status = status;
+                  self->watch_silence();
+              });
 }
 
 bool proxied_request::can_go_on_elsewhere() {
@@ -263,13 +305,6 @@
     return step == next_step::send_again || step == next_step::resume_from_copy;
 }
 
-void proxied_request::check_silence(std::uint32_t number) {
-    m_silence_timer = nullptr;
-    if (!m_is_done && m_attempt && m_attempt->number == number) {
-        arm_silence();
-    }
-}
-
 void proxied_request::take_head(const answer_head& head) {
     auto& current = *m_attempt;
     current.has_head = true;
@@ -334,6 +369,7 @@
         }
     }
     record_event(current.pace, now);
+    current.status.reset();
     const auto number = event_number(event.id);
     const auto last = event_number(m_last_event_id);
     if (number && last && *number <= *last) {
@@ -351,7 +387,7 @@
     }
     m_last_delivery = now;
     if (is_first) {
-        arm_silence();
+        watch_silence();
     }
 }
 
