Renew copies whose holder is lost; every process hears all others

Cause: with 22 processes each report listed the first 12 peers only, so 9 of 22 processes heard 13 of 21 others and put prompts onto engines that were busy; long streams had lost the holder of their copy in an earlier wave; an engine's report, a few hundred ms old, does not list a run that has just gone on elsewhere (silent 252 ms, unlisted). Change: reports list a random part of the peers; a stream looks after its copy and has its engine copy to another holder; reports on runs younger than 700 ms are not trusted.

--- a/include/lovage/ports/request_codec.h
+++ b/include/lovage/ports/request_codec.h
@@ -38,7 +38,7 @@
                               const forwarded_request& request)>
         decode_answer;
     std::function<encoded_answer(const own_answer&)> encode_answer;
-    lovage::status_question status_question;
+    engine_dialect engine;
 };
 
 } // namespace lovage
--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -36,6 +36,10 @@
     std::string target_id;
     /// "ip:port" of the target that holds the copy.
     std::string address;
+    /// The engine that made the copy and the copy's name there; empty for the copy that follows a run from its
+    /// start.
+    std::string source_address;
+    std::string name;
 };
 
 /// What is set for one attempt.
@@ -50,8 +54,9 @@
     std::string last_event_id;
     /// Where the engine sends a copy of the generation's memory; empty address for none.
     memory_copy copy_to;
-    /// The target goes on from the copy that it holds.
+    /// The target goes on from the copy that it holds; a named copy is named with its source.
     bool from_copy = false;
+    memory_copy copy_from;
     /// Whether a connection that has been idle may be used; its loss leaves open whether the request ran.
     bool may_reuse_connection = true;
 };
@@ -98,10 +103,18 @@
     std::function<void(bool paused)> pause;
 };
 
-/// How a target is asked what it does for a request.
-struct status_question {
-    std::shared_ptr<const forwarded_request> request;
-    std::function<run_status(const std::string& body, const std::string& request_id)> decode;
+/// Calls that concern an engine itself, and the meaning of their answers.
+struct engine_dialect {
+    using request_ptr = std::shared_ptr<const forwarded_request>;
+    /// What the engine does for a request.
+    request_ptr status_request;
+    std::function<run_status(const std::string& body, const std::string& request_id)> decode_status;
+    /// A copy of a running request's memory at another engine.
+    std::function<request_ptr(const std::string& request_id, const std::string& holder_address)>
+        make_copy_request;
+    /// The name of the copy; nothing if the answer has none.
+    std::function<std::optional<std::string>(const std::string& body)> decode_copy;
+    std::function<request_ptr(const std::string& name)> make_free_request;
 };
 
 /// The way to targets. Called on the traffic thread; does not block.
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -51,7 +51,7 @@
 struct gateway_traffic {
     gateway_options options;
     target_port targets;
-    lovage::status_question status_question;
+    engine_dialect engine;
     timer_port timers;
     decision_sink sink;
     std::mt19937_64 random;
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -71,9 +71,13 @@
         attempt_handle handle;
         bool has_head = false;
         bool has_event = false;
+        time_point first_event{};
         /// The target is being asked about the request, and what it has said during this silence.
         bool is_asking = false;
         std::optional<run_status> status;
+        /// When the copy was last looked after, and whether it is being made.
+        time_point copy_checked{};
+        bool is_copying = false;
         answer_head head;
         std::string body;
         event_splitter events;
@@ -87,6 +91,10 @@
     silence_facts silence_of(const attempt& current) const;
     void watch_silence();
     void ask_target();
+    void keep_copy();
+    void renew_copy(bool is_new_holder);
+    void take_copy(memory_copy copy);
+    bool is_copy_lost(const memory_copy& copy) const;
     void take_head(const answer_head& head);
     void take_body(std::string_view bytes);
     void take_event(const stream_event& event, std::string& out);
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -81,7 +81,7 @@
     m_traffic.options.grace = settings.grace;
     m_traffic.options.key_trust = settings.key_trust;
     m_traffic.targets = m_pool->port();
-    m_traffic.status_question = m_codec.status_question;
+    m_traffic.engine = m_codec.engine;
     m_traffic.timers = make_timers();
     m_traffic.sink = make_sink();
     m_traffic.boot_clock = boot_now;
--- /dev/null
+++ b/src/traffic/engine_calls.cpp
@@ -0,0 +1,52 @@
+#include "lovage/traffic/engine_calls.h"
+
+#include "lovage/traffic/target_call.h"
+
+#include <utility>
+
+namespace lovage {
+
+namespace {
+
+// An engine that works answers within a few milliseconds, wherever it is.
+constexpr milliseconds k_probe_time{100};
+// A copy of a long prompt takes some tens of milliseconds, and waits behind others.
+constexpr milliseconds k_copy_time{1'500};
+constexpr milliseconds k_free_time{500};
+
+} // namespace
+
+void probe_run(gateway_traffic& traffic, const std::string& address, const std::string& request_id,
+               std::function<void(run_status)> done) {
+    traffic.sink.count("gateway_engine_calls", "probe");
+    const auto finish = [decode = traffic.engine.decode_status, request_id,
+                         done = std::move(done)](const std::optional<target_reply>& reply) {
+        if (!reply) {
+            done({});
+            return;
+        }
+        done(reply->status == 200 ? decode(reply->body, request_id) : run_status{run_state::not_told, 0});
+    };
+    call_target(traffic, address, traffic.engine.status_request, k_probe_time, finish);
+}
+
+void copy_run(gateway_traffic& traffic, const std::string& address, const std::string& request_id,
+              const memory_copy& holder, std::function<void(std::optional<std::string>)> done) {
+    traffic.sink.count("gateway_engine_calls", "copy");
+    const auto finish = [decode = traffic.engine.decode_copy,
+                         done = std::move(done)](const std::optional<target_reply>& reply) {
+        done(reply && reply->status == 200 ? decode(reply->body) : std::nullopt);
+    };
+    call_target(traffic, address, traffic.engine.make_copy_request(request_id, holder.address), k_copy_time,
+                finish);
+}
+
+void free_copy(gateway_traffic& traffic, const std::string& address, const std::string& name) {
+    traffic.sink.count("gateway_engine_calls", "free");
+    call_target(traffic, address, traffic.engine.make_free_request(name), k_free_time,
+                [](const std::optional<target_reply>& /*reply*/) {
+                    // A copy that is not freed ends by itself after some seconds.
+                });
+}
+
+} // namespace lovage
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -46,11 +46,12 @@
     for (const auto& [at, trouble] : exchange.troubles) {
         report.troubles.push_back(trouble);
     }
+    // A random part, so that every process hears of all others after some reports.
     for (const auto& [node, peer] : exchange.peers) {
-        if (report.peers.size() < k_max_peers) {
-            report.peers.push_back(peer.report.address);
-        }
+        report.peers.push_back(peer.report.address);
     }
+    std::shuffle(report.peers.begin(), report.peers.end(), traffic.random);
+    report.peers.resize(std::min(report.peers.size(), k_max_peers));
     return report;
 }
 
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -1,6 +1,6 @@
 #include "lovage/traffic/proxied_request.h"
 
-#include "lovage/traffic/target_probe.h"
+#include "lovage/traffic/engine_calls.h"
 
 #include <algorithm>
 #include <charconv>
@@ -18,6 +18,12 @@
 constexpr double k_first_event_part = 0.55;
 // Part of the objective after which an engine is asked whether it reads the prompt.
 constexpr double k_ask_first_event_part = 0.3;
+// How often the holder of a stream's copy is looked at, and how often a copy that does not follow its run by itself
+// is brought up to date; what it lacks is read again within a few tens of milliseconds.
+constexpr milliseconds k_copy_check{200};
+constexpr milliseconds k_copy_refresh{1'000};
+// An engine's report is a few hundred milliseconds old and does not list a run that has just begun.
+constexpr milliseconds k_report_age{700};
 // Part of a silence that is left for the question and its answer.
 constexpr milliseconds k_time_to_ask{100};
 // An engine that goes on from a copy reads only the last few tokens again.
@@ -148,7 +154,7 @@
     want.avoided_zone = next.zone;
     if (const auto chosen = choose_copy(candidates, want, m_traffic.random)) {
         const auto& record = *candidates[*chosen].record;
-        next.copy = {record.id, record.address};
+        next.copy = {record.id, record.address, "", ""};
         ++m_traffic.usage[record.id].copies;
     }
 }
@@ -193,6 +199,9 @@
     order.last_event_id = m_last_event_id;
     order.copy_to = next.copy;
     order.from_copy = from_copy;
+    if (from_copy) {
+        order.copy_from = m_copy;
+    }
     order.may_reuse_connection = m_route->is_repeatable();
     m_attempt = std::move(next);
     auto handle = m_traffic.targets.open(m_request.forwarded, std::move(order), events_of(m_attempts));
@@ -228,6 +237,10 @@
     facts.last_event = event_number(m_last_event_id).value_or(0);
     facts.silence = m_traffic.timers.now() - current.pace.last;
     facts.status = current.status;
+    if (facts.status && current.has_event && m_traffic.timers.now() - current.first_event < k_report_age &&
+        facts.status->state != run_state::no_answer) {
+        facts.status->state = run_state::not_told;
+    }
     if (!is_stream()) {
         facts.give_up_after = std::min(part_of(m_route->objective, k_answer_objectives),
                                        part_of(m_route->timeout, k_answer_timeout_part));
@@ -238,7 +251,7 @@
             current.from_copy ? k_first_event_from_copy : part_of(m_route->objective, k_first_event_part);
     }
     facts.ask_after = facts.give_up_after;
-    if (is_stream() && m_traffic.status_question.request) {
+    if (is_stream() && m_traffic.engine.status_request) {
         facts.ask_after = current.has_event || current.from_copy
                               ? facts.give_up_after - k_time_to_ask
                               : part_of(m_route->objective, k_ask_first_event_part);
@@ -280,6 +293,78 @@
         });
 }
 
+bool proxied_request::is_copy_lost(const memory_copy& copy) const {
+    const auto usage = m_traffic.usage.find(copy.target_id);
+    const bool is_avoided =
+        usage != m_traffic.usage.end() && usage->second.avoid_until > m_traffic.timers.now();
+    return is_avoided || find_ready_target(m_traffic, m_service_name, copy.target_id) == nullptr;
+}
+
+void proxied_request::keep_copy() {
+    auto& current = *m_attempt;
+    const auto now = m_traffic.timers.now();
+    if (current.copy.target_id.empty() || current.is_copying || !m_traffic.engine.make_copy_request ||
+        now - current.copy_checked < k_copy_check) {
+        return;
+    }
+    const bool is_refresh_due = !current.copy.name.empty() && now - current.copy_checked >= k_copy_refresh;
+    if (is_copy_lost(current.copy)) {
+        renew_copy(true);
+    } else if (is_refresh_due) {
+        renew_copy(false);
+    }
+    if (current.copy.name.empty()) {
+        current.copy_checked = now;
+    }
+}
+
+void proxied_request::renew_copy(bool is_new_holder) {
+    auto& current = *m_attempt;
+    memory_copy copy = current.copy;
+    if (is_new_holder) {
+        const auto candidates = candidates_of(m_traffic, m_service_name);
+        placement want;
+        want.zone = m_traffic.options.zone;
+        want.excluded = {current.target_id, current.copy.target_id};
+        want.avoided_zone = current.zone;
+        want.troubled_zones = troubled_zones(m_traffic, m_service_name);
+        want.now = m_traffic.timers.now();
+        const auto chosen = choose_copy(candidates, want, m_traffic.random);
+        if (!chosen) {
+            return;
+        }
+        copy = {candidates[*chosen].record->id, candidates[*chosen].record->address, current.address, ""};
+    }
+    current.is_copying = true;
+    current.copy_checked = m_traffic.timers.now();
+    copy_run(m_traffic, current.address, m_request.forwarded->id, copy,
+             [self = shared_from_this(), number = current.number, copy](const std::optional<std::string>& name) {
+                 if (self->m_is_done || !self->m_attempt || self->m_attempt->number != number) {
+                     if (name) {
+                         free_copy(self->m_traffic, copy.source_address, *name);
+                     }
+                     return;
+                 }
+                 self->m_attempt->is_copying = false;
+                 auto made = copy;
+                 made.name = name.value_or(copy.name);
+                 if (!made.name.empty()) {
+                     self->take_copy(std::move(made));
+                 }
+             });
+}
+
+void proxied_request::take_copy(memory_copy copy) {
+    auto& current = *m_attempt;
+    if (copy.target_id != current.copy.target_id) {
+        log_step(log_level::info, "copy_renewed", copy.target_id, "before at " + current.copy.target_id);
+        auto& before = m_traffic.usage[current.copy.target_id];
+        before.copies -= before.copies > 0 ? 1 : 0;
+        ++m_traffic.usage[copy.target_id].copies;
+    }
+    current.copy = std::move(copy);
+}
+
 void proxied_request::ask_target() {
     m_attempt->is_asking = true;
     probe_run(m_traffic, m_attempt->address, m_request.forwarded->id,
@@ -358,6 +443,7 @@
     const auto now = m_traffic.timers.now();
     const bool is_first = !std::exchange(current.has_event, true);
     if (is_first) {
+        current.first_event = now;
         // The time to the first event says nothing about the pace.
         current.pace = {};
         report_change(m_traffic);
@@ -370,6 +456,7 @@
     }
     record_event(current.pace, now);
     current.status.reset();
+    keep_copy();
     const auto number = event_number(event.id);
     const auto last = event_number(m_last_event_id);
     if (number && last && *number <= *last) {
@@ -420,6 +507,9 @@
         const auto taken = m_traffic.timers.now() - m_request.received;
         m_traffic.stream_time += (taken - m_traffic.stream_time) / k_stream_time_streams;
         record_target_success(m_traffic.usage[current.target_id]);
+        if (!current.copy.name.empty()) {
+            free_copy(m_traffic, current.copy.source_address, current.copy.name);
+        }
         release_target(take_attempt());
         m_caller.finish();
         finish("served");
--- /dev/null
+++ b/src/traffic/target_call.cpp
@@ -0,0 +1,51 @@
+#include "lovage/traffic/target_call.h"
+
+#include <utility>
+
+namespace lovage {
+
+namespace {
+
+// A call in progress.
+struct call_state {
+    target_reply reply;
+    attempt_handle handle;
+    timer_cancel timer;
+    std::function<void(std::optional<target_reply>)> done;
+
+    void end(std::optional<target_reply> outcome) {
+        const auto report = std::exchange(done, nullptr);
+        if (timer) {
+            std::exchange(timer, nullptr)();
+        }
+        if (report) {
+            report(std::move(outcome));
+        }
+    }
+};
+
+} // namespace
+
+void call_target(gateway_traffic& traffic, const std::string& address,
+                 std::shared_ptr<const forwarded_request> request, milliseconds limit,
+                 std::function<void(std::optional<target_reply>)> done) {
+    const auto call = std::make_shared<call_state>();
+    call->done = std::move(done);
+    attempt_events events;
+    events.on_head = [call](const answer_head& head) { call->reply.status = head.status; };
+    events.on_body = [call](std::string_view bytes) { call->reply.body.append(bytes); };
+    events.on_end = [call] { call->end(std::move(call->reply)); };
+    events.on_failure = [call](attempt_end /*end*/, const std::string& /*detail*/) { call->end(std::nullopt); };
+    attempt_order order;
+    order.address = address;
+    order.time_left = limit;
+    call->timer = traffic.timers.after(limit, [call] {
+        if (call->done) {
+            call->handle.cancel();
+            call->end(std::nullopt);
+        }
+    });
+    call->handle = traffic.targets.open(std::move(request), std::move(order), std::move(events));
+}
+
+} // namespace lovage
