Follow the store with one watch; keep the confirmation of the configuration young

Change: one watch over all keys with its wait bounded by the age of the last confirmation; engines that read a prompt are asked again after 500 ms.

--- a/include/lovage/control/gateway_control.h
+++ b/include/lovage/control/gateway_control.h
@@ -10,16 +10,14 @@
 
 /// What the gateway's control thread needs from outside.
 struct gateway_control_ports {
-    /// One store port for each follower, as its calls wait.
-    store_port operators_store;
-    store_port targets_store;
+    store_port store;
     gateway_documents documents;
     /// Hands a new view to the traffic thread; called on the control thread.
     std::function<void(gateway_view_ptr)> publish;
     std::function<void(const belief_log&)> log;
 };
 
-/// The one thread that changes what the gateway believes, with a follower thread for each prefix of the store.
+/// The one thread that changes what the gateway believes, with a thread that follows the store.
 class gateway_control {
 public:
     static std::unique_ptr<gateway_control> start(gateway_control_ports ports);
--- a/include/lovage/control/gateway_documents.h
+++ b/include/lovage/control/gateway_documents.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace lovage {
 
@@ -18,8 +19,9 @@
 
 /// Where the store keeps what a gateway follows, and how it is written there.
 struct gateway_documents {
-    std::string operator_prefix;
-    std::string target_prefix;
+    /// The prefixes that are read; a watch follows all of them at once.
+    std::vector<std::string> prefixes;
+    std::string watched_prefix;
     std::function<result<operator_document>(const std::string& key, const store_value&)> decode_operator;
     /// Fails with `protocol_error` for an entry that names no target to use.
     std::function<result<target_record>(const std::string& key, const store_value&)> decode_target;
--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -14,14 +14,8 @@
 
 namespace lovage {
 
-/// The two parts of the store that a gateway follows.
-enum class followed_prefix : std::uint8_t { operators, targets };
-inline constexpr std::size_t k_followed_prefix_count = 2;
-inline constexpr enum_names<k_followed_prefix_count> k_followed_prefix_names{"operators", "targets"};
-
-/// What a follower of a prefix learned. Without `failure` it is either the whole content or changes.
+/// What the follower of the store learned. Without `failure` it is either the whole content or changes.
 struct followed_event {
-    followed_prefix prefix = followed_prefix::operators;
     std::optional<error> failure;
     bool is_whole = false;
     std::vector<store_change> changes;
@@ -40,8 +34,8 @@
     std::optional<time_point> missing_until;
 };
 
-/// What a follower's connection to the store did lately.
-struct follower_health {
+/// What the connection to the store did lately.
+struct store_health {
     bool is_lost = false;
     time_point recovered_at{};
 };
@@ -58,8 +52,7 @@
     route_table_ptr table;
     std::map<std::string, followed_target> targets;
     std::map<std::string, rollout_order> rollouts;
-    follower_health operators_health;
-    follower_health targets_health;
+    store_health health;
     bool has_targets = false;
     bool is_targets_changed = false;
     boot_time table_confirmed{0};
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -2,6 +2,7 @@
 
 #include "lovage/control/event_queue.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -13,17 +14,12 @@
 // Events are few: each follower waits for the store between two of them.
 constexpr std::size_t k_queue_capacity = 256;
 
-// How a follower paces its calls.
-struct follower_pace {
-    followed_prefix prefix;
-    /// Wait of one watch. An answer to the operators' watch confirms the configuration, so its wait bounds the
-    /// age of what is believed.
-    milliseconds wait;
-    /// Pause after changes, in which further ones gather.
-    milliseconds gather;
-};
-constexpr follower_pace k_operators_pace{followed_prefix::operators, milliseconds(1'500), milliseconds(50)};
-constexpr follower_pace k_targets_pace{followed_prefix::targets, milliseconds(2'500), milliseconds(200)};
+// An empty answer to a watch confirms the configuration, so its wait bounds the age of what is believed. After
+// changes, whose time is not known exactly, the next watch is shorter.
+constexpr milliseconds k_longest_wait{1'500};
+constexpr milliseconds k_shortest_wait{300};
+// Pause after changes, in which further ones gather. A draining target gets no new work within two seconds.
+constexpr milliseconds k_gather{300};
 
 // Pauses after failures; the first is short, as single answers get lost.
 constexpr milliseconds k_first_pause{100};
@@ -39,14 +35,14 @@
     std::condition_variable stopping;
     bool is_stopping = false;
     std::thread control;
-    std::thread operators;
-    std::thread targets;
+    std::thread follower;
 
     void run();
-    void follow_prefix(const store_port& store, const std::string& prefix, follower_pace pace);
+    void follow_store();
+    followed_event watch(std::uint64_t revision, boot_time confirmed) const;
+    followed_event read_whole() const;
     // Waits; false if the process stops.
     bool pause(milliseconds time);
-    static followed_event read_whole(const store_port& store, const std::string& prefix);
 };
 
 bool gateway_control::state::pause(milliseconds time) {
@@ -54,54 +50,58 @@
     return !stopping.wait_for(lock, time, [this] { return is_stopping; });
 }
 
-followed_event gateway_control::state::read_whole(const store_port& store, const std::string& prefix) {
+followed_event gateway_control::state::read_whole() const {
     followed_event event;
     event.is_whole = true;
     event.confirmed = boot_now();
-    std::string after;
-    bool has_more = true;
-    while (has_more) {
-        auto page = store.read_page(prefix, after);
-        if (!page) {
-            event.failure = page.error();
-            return event;
-        }
-        // A watch from the first page's revision shows what changed while later pages were read.
-        event.revision = event.revision == 0 ? page->revision : event.revision;
-        has_more = page->has_more && !page->items.empty();
-        for (auto& [key, value] : page->items) {
-            after = key;
-            event.changes.push_back({std::move(key), std::move(value)});
+    for (const auto& prefix : ports.documents.prefixes) {
+        std::string after;
+        bool has_more = true;
+        while (has_more) {
+            auto page = ports.store.read_page(prefix, after);
+            if (!page) {
+                event.failure = page.error();
+                return event;
+            }
+            // A watch from the first page's revision shows what changed while later pages were read.
+            event.revision = event.revision == 0 ? page->revision : event.revision;
+            has_more = page->has_more && !page->items.empty();
+            for (auto& [key, value] : page->items) {
+                after = key;
+                event.changes.push_back({std::move(key), std::move(value)});
+            }
         }
     }
     return event;
 }
 
-void gateway_control::state::follow_prefix(const store_port& store, const std::string& prefix,
-                                           follower_pace pace) {
+followed_event gateway_control::state::watch(std::uint64_t revision, boot_time confirmed) const {
+    followed_event event;
+    const auto asked = boot_now();
+    const auto age = std::chrono::duration_cast<milliseconds>(asked - confirmed);
+    const auto wait = std::clamp(k_longest_wait - age, k_shortest_wait, k_longest_wait);
+    event.confirmed = asked;
+    auto changes = ports.store.watch_prefix(ports.documents.watched_prefix, revision, wait);
+    if (!changes) {
+        event.failure = changes.error();
+        return event;
+    }
+    if (changes->changes.empty() && boot_now() - asked >= wait) {
+        // The store has waited for changes until the end and has seen none.
+        event.confirmed = asked + wait;
+    }
+    event.revision = changes->revision;
+    event.changes = std::move(changes->changes);
+    return event;
+}
+
+void gateway_control::state::follow_store() {
     std::uint64_t revision = 0;
+    boot_time confirmed{0};
     milliseconds failure_pause = k_first_pause;
     bool goes_on = true;
     while (goes_on) {
-        followed_event event;
-        if (revision == 0) {
-            event = read_whole(store, prefix);
-        } else {
-            const auto asked = boot_now();
-            auto changes = store.watch_prefix(prefix, revision, pace.wait);
-            event.confirmed = asked;
-            if (changes) {
-                if (changes->changes.empty() && boot_now() - asked >= pace.wait) {
-                    // The store has waited for changes until the end and has seen none.
-                    event.confirmed = asked + pace.wait;
-                }
-                event.revision = changes->revision;
-                event.changes = std::move(changes->changes);
-            } else {
-                event.failure = changes.error();
-            }
-        }
-        event.prefix = pace.prefix;
+        auto event = revision == 0 ? read_whole() : watch(revision, confirmed);
         milliseconds rest{0};
         if (event.failure) {
             const bool is_history_lost = event.failure->kind == error_kind::history_lost;
@@ -110,8 +110,9 @@
             failure_pause = std::min(failure_pause * 2, k_longest_pause);
         } else {
             revision = event.revision;
+            confirmed = event.confirmed;
             failure_pause = k_first_pause;
-            rest = event.changes.empty() || event.is_whole ? milliseconds(0) : pace.gather;
+            rest = event.changes.empty() || event.is_whole ? milliseconds(0) : k_gather;
         }
         if (!events.push(std::move(event))) {
             // A lost event would leave a gap, so everything is read again.
@@ -151,12 +152,7 @@
     own.ports = std::move(ports);
     own.beliefs.documents = own.ports.documents;
     own.control = std::thread([&own] { own.run(); });
-    own.operators = std::thread([&own] {
-        own.follow_prefix(own.ports.operators_store, own.ports.documents.operator_prefix, k_operators_pace);
-    });
-    own.targets = std::thread([&own] {
-        own.follow_prefix(own.ports.targets_store, own.ports.documents.target_prefix, k_targets_pace);
-    });
+    own.follower = std::thread([&own] { own.follow_store(); });
     return control;
 }
 
@@ -166,10 +162,8 @@
         m_state->is_stopping = true;
     }
     m_state->stopping.notify_all();
-    m_state->ports.operators_store.stop();
-    m_state->ports.targets_store.stop();
-    m_state->operators.join();
-    m_state->targets.join();
+    m_state->ports.store.stop();
+    m_state->follower.join();
     m_state->events.close();
     m_state->control.join();
 }
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -15,38 +15,25 @@
     state.logs.push_back({level, event, std::move(fields)});
 }
 
-follower_health& health_of(gateway_state& state, followed_prefix prefix) {
-    return prefix == followed_prefix::operators ? state.operators_health : state.targets_health;
-}
-
-bool is_reliable(const follower_health& health, time_point now) {
+bool is_reliable(const store_health& health, time_point now) {
     const bool has_recovered =
         health.recovered_at == time_point{} || now - health.recovered_at > k_return_time;
     return !health.is_lost && has_recovered;
 }
 
-void note_failure(gateway_state& state, const followed_event& event) {
-    auto& health = health_of(state, event.prefix);
+void note_failure(gateway_state& state, const error& failure) {
     // Lost history says that the store was reached.
-    if (event.failure->kind == error_kind::history_lost) {
-        log_belief(state, log_level::info, "store_history_lost",
-                   {{"prefix", std::string(name_of(k_followed_prefix_names, event.prefix))}});
-        return;
-    }
-    if (!std::exchange(health.is_lost, true)) {
-        log_belief(state, log_level::warning, "store_lost",
-                   {{"prefix", std::string(name_of(k_followed_prefix_names, event.prefix))},
-                    {"detail", event.failure->detail}});
+    if (failure.kind == error_kind::history_lost) {
+        log_belief(state, log_level::info, "store_history_lost", {});
+    } else if (!std::exchange(state.health.is_lost, true)) {
+        log_belief(state, log_level::warning, "store_lost", {{"detail", failure.detail}});
     }
 }
 
-void note_success(gateway_state& state, const followed_event& event, time_point now) {
-    auto& health = health_of(state, event.prefix);
-    if (std::exchange(health.is_lost, false)) {
-        health.recovered_at = now;
-        log_belief(state, log_level::info, "store_back",
-                   {{"prefix", std::string(name_of(k_followed_prefix_names, event.prefix))},
-                    {"revision", std::to_string(event.revision)}});
+void note_success(gateway_state& state, std::uint64_t revision, time_point now) {
+    if (std::exchange(state.health.is_lost, false)) {
+        state.health.recovered_at = now;
+        log_belief(state, log_level::info, "store_back", {{"revision", std::to_string(revision)}});
     }
 }
 
@@ -104,7 +91,7 @@
     if (found == state.targets.end() || found->second.missing_until) {
         return;
     }
-    const auto& health = state.targets_health;
+    const auto& health = state.health;
     // A target that announced its end does not come back.
     if (is_reliable(health, now) || found->second.record.phase == target_phase::draining) {
         drop_target(state, id, "entry removed");
@@ -142,30 +129,20 @@
     state.is_targets_changed = true;
 }
 
-void take_targets(gateway_state& state, const followed_event& event, time_point now) {
+void miss_absent_targets(gateway_state& state, const followed_event& whole, time_point now) {
     std::set<std::string> present;
-    for (const auto& change : event.changes) {
-        const auto id = state.documents.target_id(change.key);
-        if (change.value) {
-            present.insert(id);
-            take_target(state, id, change, now);
-        } else {
-            miss_target(state, id, now);
-        }
+    for (const auto& change : whole.changes) {
+        present.insert(state.documents.target_id(change.key));
     }
-    if (event.is_whole) {
-        state.is_targets_changed = state.is_targets_changed || !state.has_targets;
-        state.has_targets = true;
-        std::vector<std::string> missing;
-        for (const auto& [id, target] : state.targets) {
-            if (present.count(id) == 0) {
-                missing.push_back(id);
-            }
-        }
-        for (const auto& id : missing) {
-            miss_target(state, id, now);
+    std::vector<std::string> missing;
+    for (const auto& [id, target] : state.targets) {
+        if (present.count(id) == 0) {
+            missing.push_back(id);
         }
     }
+    for (const auto& id : missing) {
+        miss_target(state, id, now);
+    }
 }
 
 std::shared_ptr<const std::map<std::string, target_list>> make_targets(const gateway_state& state) {
@@ -195,16 +172,24 @@
 
 void follow(gateway_state& state, followed_event event, time_point now) {
     if (event.failure) {
-        note_failure(state, event);
-        return;
-    }
-    note_success(state, event, now);
-    if (event.prefix == followed_prefix::targets) {
-        take_targets(state, event, now);
+        note_failure(state, *event.failure);
         return;
     }
+    note_success(state, event.revision, now);
     for (const auto& change : event.changes) {
-        take_operator_change(state, change);
+        const auto id = state.documents.target_id(change.key);
+        if (id.empty()) {
+            take_operator_change(state, change);
+        } else if (change.value) {
+            take_target(state, id, change, now);
+        } else {
+            miss_target(state, id, now);
+        }
+    }
+    if (event.is_whole) {
+        const bool had_targets = std::exchange(state.has_targets, true);
+        state.is_targets_changed = state.is_targets_changed || !had_targets;
+        miss_absent_targets(state, event, now);
     }
     state.table_confirmed = std::max(state.table_confirmed, event.confirmed);
 }
@@ -216,7 +201,7 @@
         if (!target.missing_until) {
             continue;
         }
-        if (state.targets_health.is_lost) {
+        if (state.health.is_lost) {
             // The time counts from the store's return.
             target.missing_until = now + k_return_time;
         }
--- a/src/core/silence_plan.cpp
+++ b/src/core/silence_plan.cpp
@@ -9,7 +9,7 @@
 // What a target says is a few hundred milliseconds old, in which it makes this many events at most.
 constexpr std::uint64_t k_events_on_the_way = 12;
 // A target that reads a prompt is asked again after this time.
-constexpr milliseconds k_ask_again{900};
+constexpr milliseconds k_ask_again{500};
 
 // Whether the target has made events that should have arrived by now.
 bool is_answer_lost(const silence_facts& facts) {
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -31,6 +31,8 @@
 // Callers wait this long for a process that has just started to learn its configuration; then they are told to
 // come back.
 constexpr milliseconds k_accept_delay{400};
+// A store that is slow answers within a few hundred milliseconds.
+constexpr milliseconds k_store_timeout{1'000};
 // How often a leaving process looks whether its work is done.
 constexpr milliseconds k_leave_poll{50};
 // This process is not ready when the store has been silent for this part of the time for which keys are trusted.
@@ -124,8 +126,7 @@
     };
     gateway_control_ports ports;
     ports.documents = platform::make_documents();
-    ports.operators_store = platform::make_store_kv({m_settings.store_address, milliseconds(1'000)}, on_call);
-    ports.targets_store = platform::make_store_kv({m_settings.store_address, milliseconds(1'000)}, on_call);
+    ports.store = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
     ports.publish = [this](gateway_view_ptr view) {
         asio::post(m_io, [this, view = std::move(view)]() mutable {
             take_view(m_traffic, std::move(view));
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -17,7 +17,7 @@
 // enough to read the prompt again.
 constexpr double k_first_event_part = 0.55;
 // Part of the objective after which an engine is asked whether it reads the prompt.
-constexpr double k_ask_first_event_part = 0.3;
+constexpr double k_ask_first_event_part = 0.4;
 // How often the holder of a stream's copy is looked at, and how often a copy that does not follow its run by itself
 // is brought up to date; what it lacks is read again within a few tens of milliseconds.
 constexpr milliseconds k_copy_check{200};
