--- a/include/lovage/adapters/gateway/caller_server.h
+++ b/include/lovage/adapters/gateway/caller_server.h
@@ -23,7 +23,8 @@
 /// The callers' HTTP/1.1 door. All calls on the io_context's thread.
 class caller_server {
 public:
-    /// Listens, but takes no connection before `accept`. Fails with `invalid_settings` if the address cannot be used.
+    /// Listens, but takes no connection before `accept`. Fails with `invalid_settings` if the address cannot
+    /// be used.
     static result<std::unique_ptr<caller_server>> start(boost::asio::io_context& io,
                                                         caller_server_options options, request_codec codec,
                                                         gateway_traffic& traffic);
--- a/include/lovage/adapters/gateway/status_server.h
+++ b/include/lovage/adapters/gateway/status_server.h
@@ -24,8 +24,8 @@
     using page_source = std::function<status_page(const std::string& path)>;
 
     /// Listens on "ip:port". Fails with `invalid_settings` if the address cannot be used.
-    static result<std::unique_ptr<status_server>> start(boost::asio::io_context& io, const std::string& address,
-                                                        page_source page);
+    static result<std::unique_ptr<status_server>> start(boost::asio::io_context& io,
+                                                        const std::string& address, page_source page);
     ~status_server();
     status_server(const status_server&) = delete;
     status_server& operator=(const status_server&) = delete;
--- a/include/lovage/adapters/log.h
+++ b/include/lovage/adapters/log.h
@@ -9,8 +9,8 @@
 
 namespace lovage {
 
-/// Starts logging to standard output, one JSON object a line; `process` is written in each. A thread of its own
-/// writes the lines, so that a slow reader delays no other thread.
+/// Starts logging to standard output, one JSON object a line; `process` is written in each. A thread of its
+/// own writes the lines, so that a slow reader delays no other thread.
 void start_log(const std::string& process, log_level lowest);
 
 /// Writes what is queued and ends the thread; later lines are dropped.
--- a/include/lovage/core/leave_plan.h
+++ b/include/lovage/core/leave_plan.h
@@ -20,7 +20,8 @@
     stopped,
 };
 inline constexpr std::size_t k_leave_phase_count = 4;
-inline constexpr enum_names<k_leave_phase_count> k_leave_phase_names{"serving", "leaving", "closing", "stopped"};
+inline constexpr enum_names<k_leave_phase_count> k_leave_phase_names{"serving", "leaving", "closing",
+                                                                     "stopped"};
 static_assert(static_cast<std::size_t>(leave_phase::stopped) + 1 == k_leave_phase_count);
 
 /// A process that was asked to stop.
--- a/include/lovage/core/retry_window.h
+++ b/include/lovage/core/retry_window.h
@@ -7,8 +7,8 @@
 
 namespace lovage {
 
-/// The part of a budget that all processes share which this process may spend: a ratio of its own requests in a
-/// sliding window, plus a fixed number.
+/// The part of a budget that all processes share which this process may spend: a ratio of its own requests in
+/// a sliding window, plus a fixed number.
 struct retry_window_limits {
     double ratio = 0.1;
     double fixed = 10.0;
--- a/include/lovage/core/silence_plan.h
+++ b/include/lovage/core/silence_plan.h
@@ -23,8 +23,8 @@
     present,
 };
 inline constexpr std::size_t k_run_state_count = 5;
-inline constexpr enum_names<k_run_state_count> k_run_state_names{"no_answer", "not_told", "absent", "unlisted",
-                                                                 "present"};
+inline constexpr enum_names<k_run_state_count> k_run_state_names{"no_answer", "not_told", "absent",
+                                                                 "unlisted", "present"};
 static_assert(static_cast<std::size_t>(run_state::present) + 1 == k_run_state_count);
 
 struct run_status {
--- a/include/lovage/ports/caller_port.h
+++ b/include/lovage/ports/caller_port.h
@@ -20,7 +20,8 @@
     bool is_not_run = false;
 };
 
-/// The caller of one request, on the traffic thread. One of `reply`, `finish` and `break_off` ends the answer.
+/// The caller of one request, on the traffic thread. One of `reply`, `finish` and `break_off` ends the
+/// answer.
 struct caller_port {
     std::function<void(const own_answer&)> reply;
     /// Starts a target's answer; `body_bytes` is its length if it is known.
--- a/include/lovage/ports/store_port.h
+++ b/include/lovage/ports/store_port.h
@@ -20,8 +20,8 @@
 
 using lease_id = std::uint64_t;
 
-/// A page of the keys below a prefix, in the order of the keys. Pages are no snapshot: a change may show in one
-/// and not in another, so a watch should go on from the first page's `revision`.
+/// A page of the keys below a prefix, in the order of the keys. Pages are no snapshot: a change may show in
+/// one and not in another, so a watch should go on from the first page's `revision`.
 struct store_page {
     std::vector<std::pair<std::string, store_value>> items;
     bool has_more = false;
--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -36,8 +36,8 @@
     std::string target_id;
     /// "ip:port" of the target that holds the copy.
     std::string address;
-    /// The engine that made the copy and the copy's name there; empty for the copy that follows a run from its
-    /// start.
+    /// The engine that made the copy and the copy's name there; empty for the copy that follows a run from
+    /// its start.
     std::string source_address;
     std::string name;
 };
@@ -119,7 +119,8 @@
 
 /// The way to targets. Called on the traffic thread; does not block.
 struct target_port {
-    std::function<attempt_handle(std::shared_ptr<const forwarded_request>, attempt_order, attempt_events)> open;
+    std::function<attempt_handle(std::shared_ptr<const forwarded_request>, attempt_order, attempt_events)>
+        open;
     /// Closes idle connections to an address that is no longer used.
     std::function<void(const std::string& address)> forget;
 };
--- a/include/lovage/traffic/engine_calls.h
+++ b/include/lovage/traffic/engine_calls.h
@@ -10,13 +10,13 @@
 
 namespace lovage {
 
-/// Asks an engine about one request; `done` is called once, on the traffic thread, with `no_answer` if the engine
-/// does not answer in time.
+/// Asks an engine about one request; `done` is called once, on the traffic thread, with `no_answer` if the
+/// engine does not answer in time.
 void probe_run(gateway_traffic& traffic, const std::string& address, const std::string& request_id,
                std::function<void(run_status)> done);
 
-/// Has the engine at `address` copy the memory of a running request to `holder`; only what is new if it has done
-/// so before. `done` gets the name of the copy, or nothing if there is none.
+/// Has the engine at `address` copy the memory of a running request to `holder`; only what is new if it has
+/// done so before. `done` gets the name of the copy, or nothing if there is none.
 void copy_run(gateway_traffic& traffic, const std::string& address, const std::string& request_id,
               const memory_copy& holder, std::function<void(std::optional<std::string>)> done);
 
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -50,8 +50,8 @@
     /// The caller has taken bytes; reading goes on if it was paused.
     void caller_drained();
 
-    /// Whether the request waits at this target and has received nothing for a while; a shorter while if it is
-    /// certain that the target is lost.
+    /// Whether the request waits at this target and has received nothing for a while; a shorter while if it
+    /// is certain that the target is lost.
     bool is_stuck_at(const std::string& target_id, bool is_certain) const;
     void target_lost(const std::string& target_id, bool is_certain);
 
--- a/include/lovage/traffic/target_call.h
+++ b/include/lovage/traffic/target_call.h
@@ -17,7 +17,8 @@
     std::string body;
 };
 
-/// Calls a target; `done` is called once, on the traffic thread, with nothing if no whole answer came in time.
+/// Calls a target; `done` is called once, on the traffic thread, with nothing if no whole answer came in
+/// time.
 void call_target(gateway_traffic& traffic, const std::string& address,
                  std::shared_ptr<const forwarded_request> request, milliseconds limit,
                  std::function<void(std::optional<target_reply>)> done);
--- a/src/adapters/base/log.cpp
+++ b/src/adapters/base/log.cpp
@@ -40,8 +40,9 @@
 };
 
 using backend_type = boost::log::sinks::text_ostream_backend;
-using sink_type = boost::log::sinks::asynchronous_sink<
-    backend_type, boost::log::sinks::bounded_fifo_queue<k_queue_lines, counting_drop>>;
+using sink_type =
+    boost::log::sinks::asynchronous_sink<backend_type,
+                                         boost::log::sinks::bounded_fifo_queue<k_queue_lines, counting_drop>>;
 using logger_type = boost::log::sources::severity_logger_mt<log_level>;
 
 logger_type& logger() {
--- a/src/adapters/base/url_codec.cpp
+++ b/src/adapters/base/url_codec.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 // The unreserved characters of RFC 3986.
-constexpr std::string_view k_unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.~";
+constexpr std::string_view k_unreserved =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.~";
 constexpr std::string_view k_digits = "0123456789ABCDEF";
 constexpr std::size_t k_encoded_length = 3;
 
--- a/src/adapters/gateway/caller_server.cpp
+++ b/src/adapters/gateway/caller_server.cpp
@@ -64,12 +64,12 @@
         host.traffic.sink.count("gateway_connections_refused", "limit");
         return;
     }
-    const auto session = std::make_shared<caller_session>(
-        std::move(socket), host, [weak = weak_from_this()](caller_session* closed) {
-            if (const auto self = weak.lock()) {
-                self->sessions.erase(closed);
-            }
-        });
+    const auto session = std::make_shared<caller_session>(std::move(socket), host,
+                                                          [weak = weak_from_this()](caller_session* closed) {
+                                                              if (const auto self = weak.lock()) {
+                                                                  self->sessions.erase(closed);
+                                                              }
+                                                          });
     sessions.insert(session.get());
     session->start();
 }
@@ -77,7 +77,8 @@
 caller_server::caller_server() = default;
 caller_server::~caller_server() = default;
 
-result<std::unique_ptr<caller_server>> caller_server::start(asio::io_context& io, caller_server_options options,
+result<std::unique_ptr<caller_server>> caller_server::start(asio::io_context& io,
+                                                            caller_server_options options,
                                                             request_codec codec, gateway_traffic& traffic) {
     std::unique_ptr<caller_server> server(new caller_server);
     server->m_state = std::make_shared<state>(io, std::move(options), std::move(codec), traffic);
--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -117,11 +117,11 @@
         return;
     }
     m_is_reading = true;
-    m_socket.async_read_some(m_buffer.prepare(k_read_block), [self = shared_from_this()](
-                                                                 const error_code& failure, std::size_t bytes) {
-        self->m_is_reading = false;
-        self->take_bytes(failure, bytes);
-    });
+    m_socket.async_read_some(m_buffer.prepare(k_read_block),
+                             [self = shared_from_this()](const error_code& failure, std::size_t bytes) {
+                                 self->m_is_reading = false;
+                                 self->take_bytes(failure, bytes);
+                             });
 }
 
 void caller_session::take_bytes(const error_code& failure, std::size_t bytes) {
@@ -200,12 +200,12 @@
     received.body = std::move(message.body());
     auto request = m_host.codec.decode_request(std::move(received));
     request.received = m_first_byte;
-    auto started = proxied_request::start(m_host.traffic, std::move(request), make_port(),
-                                          [weak = weak_from_this()] {
-                                              if (const auto self = weak.lock()) {
-                                                  self->m_request.reset();
-                                              }
-                                          });
+    auto started =
+        proxied_request::start(m_host.traffic, std::move(request), make_port(), [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->m_request.reset();
+            }
+        });
     // The request may have been answered at once.
     if (!m_is_answered) {
         m_request = std::move(started);
@@ -309,7 +309,7 @@
     });
 }
 
-void caller_session::queue(std::string bytes) {
+void caller_session::queue(const std::string& bytes) {
     m_pending += bytes;
     flush();
 }
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -56,7 +56,7 @@
     void write_body(std::string bytes);
     void finish_answer();
     void end_request();
-    void queue(std::string bytes);
+    void queue(const std::string& bytes);
     void flush();
     void linger();
     void close();
--- a/src/adapters/gateway/connection_fields.cpp
+++ b/src/adapters/gateway/connection_fields.cpp
@@ -12,10 +12,11 @@
 namespace http = boost::beast::http;
 
 constexpr std::array<http::field, 10> k_connection_fields{
-    http::field::connection, http::field::keep_alive,        http::field::proxy_connection,
-    http::field::te,         http::field::trailer,           http::field::transfer_encoding,
-    http::field::upgrade,    http::field::content_length,    http::field::expect,
-    http::field::proxy_authorization,
+    http::field::connection,       http::field::keep_alive,
+    http::field::proxy_connection, http::field::te,
+    http::field::trailer,          http::field::transfer_encoding,
+    http::field::upgrade,          http::field::content_length,
+    http::field::expect,           http::field::proxy_authorization,
 };
 
 bool is_connection_field(const http::fields::value_type& field, const std::vector<std::string>& named) {
--- a/src/adapters/gateway/http_channel.cpp
+++ b/src/adapters/gateway/http_channel.cpp
@@ -76,9 +76,8 @@
     http::async_write(*stream, message, [&](const error_code& outcome, std::size_t /*bytes*/) {
         failure = outcome;
         if (!failure) {
-            http::async_read(*stream, buffer, parser, [&failure](const error_code& read, std::size_t /*bytes*/) {
-                failure = read;
-            });
+            http::async_read(*stream, buffer, parser,
+                             [&failure](const error_code& read, std::size_t /*bytes*/) { failure = read; });
         }
     });
     run();
--- a/src/adapters/gateway/peer_report_udp.cpp
+++ b/src/adapters/gateway/peer_report_udp.cpp
@@ -137,9 +137,9 @@
     }
 }
 
-result<std::unique_ptr<peer_report_udp>> peer_report_udp::start(asio::io_context& io, const std::string& address,
-                                                                std::function<void(peer_report)> take,
-                                                                std::function<void(const std::string&)> count) {
+result<std::unique_ptr<peer_report_udp>>
+peer_report_udp::start(asio::io_context& io, const std::string& address,
+                       std::function<void(peer_report)> take, std::function<void(const std::string&)> count) {
     const auto parsed = parse_endpoint(address);
     if (!parsed) {
         return tl::unexpected<error>(parsed.error());
@@ -162,8 +162,8 @@
 
 peer_report_port peer_report_udp::port() {
     peer_report_port port;
-    port.send = [state = m_state, last = std::uint64_t{0}, bytes = std::string()](
-                    const std::string& address, const peer_report& report) mutable {
+    port.send = [state = m_state, last = std::uint64_t{0},
+                 bytes = std::string()](const std::string& address, const peer_report& report) mutable {
         // The same report goes to several receivers.
         if (report.sequence != last) {
             last = report.sequence;
--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -19,8 +19,8 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-// A target that acknowledges nothing for this long is cut off. Requests on kept connections need it, as they are
-// sent without the check that connecting is; two lost packets in a row are sent again within this time.
+// A target that acknowledges nothing for this long is cut off. Requests on kept connections need it, as they
+// are sent without the check that connecting is; two lost packets in a row are sent again within this time.
 constexpr milliseconds k_unacknowledged{500};
 // Seconds before the first probe and between probes, and the number of probes; less is not possible.
 constexpr int k_keepalive = 1;
@@ -48,7 +48,8 @@
     const auto limit = static_cast<unsigned>(k_unacknowledged.count());
     // Without the option a lost target is noticed later, by the limits of the request.
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
-    // A target that is lost while it reads a prompt is noticed by a probe, as nothing else is sent to it then.
+    // A target that is lost while it reads a prompt is noticed by a probe, as nothing else is sent to it
+    // then.
     const int on = 1;
     ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     for (const int option : {TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_KEEPCNT}) {
@@ -140,8 +141,9 @@
         read_head();
         return;
     }
-    const auto head = m_codec.decode_answer(static_cast<int>(message.result_int()),
-                                            std::string(message.reason()), end_to_end_fields(message), *m_request);
+    const auto head =
+        m_codec.decode_answer(static_cast<int>(message.result_int()), std::string(message.reason()),
+                              end_to_end_fields(message), *m_request);
     m_events.on_head(head);
     if (!m_is_over) {
         read_body();
--- a/src/adapters/gateway/target_exchange.h
+++ b/src/adapters/gateway/target_exchange.h
@@ -5,11 +5,11 @@
 #include "lovage/ports/request_codec.h"
 #include "lovage/ports/target_port.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -14,8 +14,8 @@
 // Events are few: each follower waits for the store between two of them.
 constexpr std::size_t k_queue_capacity = 256;
 
-// An empty answer to a watch confirms the configuration, so its wait bounds the age of what is believed. After
-// changes, whose time is not known exactly, the next watch is shorter.
+// An empty answer to a watch confirms the configuration, so its wait bounds the age of what is believed.
+// After changes, whose time is not known exactly, the next watch is shorter.
 constexpr milliseconds k_longest_wait{1'500};
 constexpr milliseconds k_shortest_wait{300};
 // Pause after changes, in which further ones gather. A draining target gets no new work within two seconds.
--- a/src/core/leave_plan.cpp
+++ b/src/core/leave_plan.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Callers are still sent here until the platform has seen that this process is not ready: it asks once a second
-// and needs two answers. A request that was on its way then needs a little longer.
+// Callers are still sent here until the platform has seen that this process is not ready: it asks once a
+// second and needs two answers. A request that was on its way then needs a little longer.
 constexpr milliseconds k_unseen_time{3'000};
 // Before the kill, what is still running is ended in an orderly way.
 constexpr milliseconds k_end_margin{300};
--- a/src/core/stream_silence.cpp
+++ b/src/core/stream_silence.cpp
@@ -22,9 +22,8 @@
 void record_event(stream_pace& pace, time_point now) {
     if (pace.last != time_point{}) {
         const double gap = std::chrono::duration<double, std::milli>(now - pace.last).count();
-        pace.mean_gap_ms = pace.mean_gap_ms == 0.0
-                               ? gap
-                               : pace.mean_gap_ms + k_newest_weight * (gap - pace.mean_gap_ms);
+        pace.mean_gap_ms =
+            pace.mean_gap_ms == 0.0 ? gap : pace.mean_gap_ms + k_newest_weight * (gap - pace.mean_gap_ms);
     }
     pace.last = now;
 }
--- a/src/core/target_choice.cpp
+++ b/src/core/target_choice.cpp
@@ -34,7 +34,8 @@
     if (usage.reported_at == time_point{} || age >= k_report_life) {
         return 0.0;
     }
-    const double left = 1.0 - std::chrono::duration<double>(age) / std::chrono::duration<double>(k_report_life);
+    const double left =
+        1.0 - std::chrono::duration<double>(age) / std::chrono::duration<double>(k_report_life);
     return usage.foreign * left;
 }
 
@@ -104,7 +105,8 @@
     const auto cost = [&want](const target_candidate& candidate) {
         const bool same_zone = candidate.record->zone == want.avoided_zone;
         // Copies gather where they are placed, so they weigh as much as runs among themselves.
-        return placement_cost(candidate, want) + candidate.usage.copies + (same_zone ? k_avoided_zone_cost : 0.0);
+        return placement_cost(candidate, want) + candidate.usage.copies +
+               (same_zone ? k_avoided_zone_cost : 0.0);
     };
     return choose_by(candidates, want, cost, random);
 }
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -28,14 +28,15 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-// Callers wait this long for a process that has just started to learn its configuration; then they are told to
-// come back.
+// Callers wait this long for a process that has just started to learn its configuration; then they are told
+// to come back.
 constexpr milliseconds k_accept_delay{400};
 // A store that is slow answers within a few hundred milliseconds.
 constexpr milliseconds k_store_timeout{1'000};
 // How often a leaving process looks whether its work is done.
 constexpr milliseconds k_leave_poll{50};
-// This process is not ready when the store has been silent for this part of the time for which keys are trusted.
+// This process is not ready when the store has been silent for this part of the time for which keys are
+// trusted.
 constexpr double k_ready_part = 0.6;
 
 /// Everything that lives on the traffic thread, which is the thread that runs the program.
@@ -169,8 +170,8 @@
 
 result<void> gateway_process::start() {
     const auto callers = parse_endpoint(m_settings.callers_address);
-    auto server = caller_server::start(m_io, {callers->ip, callers->port, m_settings.max_connections}, m_codec,
-                                       m_traffic);
+    auto server = caller_server::start(m_io, {callers->ip, callers->port, m_settings.max_connections},
+                                       m_codec, m_traffic);
     if (!server) {
         return tl::unexpected<error>(server.error());
     }
@@ -188,7 +189,7 @@
         }
         m_metrics_page = std::move(*metrics_page);
     }
-    if (const auto joined = start_peers(); !joined) {
+    if (auto joined = start_peers(); !joined) {
         return joined;
     }
     m_accept_timer.expires_after(k_accept_delay);
--- a/src/programs/lovage-gateway/gateway_settings.cpp
+++ b/src/programs/lovage-gateway/gateway_settings.cpp
@@ -24,8 +24,8 @@
     settings.peers_address = reader.address("peers.address", "");
     settings.seeds = reader.addresses("peers.seeds");
     settings.store_address = reader.required_address("store.address");
-    const auto descriptors =
-        reader.integer("limits.descriptors", k_default_descriptors, k_reserved_descriptors * 2, k_most_descriptors);
+    const auto descriptors = reader.integer("limits.descriptors", k_default_descriptors,
+                                            k_reserved_descriptors * 2, k_most_descriptors);
     settings.max_connections =
         static_cast<std::size_t>((descriptors - k_reserved_descriptors) / k_caller_part);
     settings.retries.ratio = reader.number("retries.ratio", settings.retries.ratio, 0.0, 100.0);
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -40,8 +40,8 @@
     if (!traffic.leaving_since) {
         return leave_phase::serving;
     }
-    return plan_leave({traffic.timers.now() - *traffic.leaving_since, traffic.options.grace,
-                       traffic.requests.size()});
+    return plan_leave(
+        {traffic.timers.now() - *traffic.leaving_since, traffic.options.grace, traffic.requests.size()});
 }
 
 milliseconds leave_retry_after(const gateway_traffic& traffic) {
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -127,10 +127,10 @@
     const bool was_live = is_live(peer, now);
     peer.received = now;
     for (const auto& address : report.peers) {
-        const bool is_known = address == exchange.address ||
-                              std::any_of(exchange.peers.begin(), exchange.peers.end(), [&](const auto& entry) {
-                                  return entry.second.report.address == address;
-                              });
+        const bool is_known =
+            address == exchange.address ||
+            std::any_of(exchange.peers.begin(), exchange.peers.end(),
+                        [&](const auto& entry) { return entry.second.report.address == address; });
         if (!is_known && exchange.peers.size() < k_max_receivers) {
             // It is heard under its name once it answers.
             auto& found = exchange.peers["address " + address];
@@ -147,8 +147,7 @@
         }
     }
     if (!was_live) {
-        traffic.sink.log(log_level::info, "peer_known",
-                         {{"peer", report.node}, {"address", report.address}});
+        traffic.sink.log(log_level::info, "peer_known", {{"peer", report.node}, {"address", report.address}});
     }
     exchange.peers[report.node].report = std::move(report);
     for (const auto& trouble : news) {
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -18,8 +18,8 @@
 constexpr double k_first_event_part = 0.55;
 // Part of the objective after which an engine is asked whether it reads the prompt.
 constexpr double k_ask_first_event_part = 0.4;
-// How often the holder of a stream's copy is looked at, and how often a copy that does not follow its run by itself
-// is brought up to date; what it lacks is read again within a few tens of milliseconds.
+// How often the holder of a stream's copy is looked at, and how often a copy that does not follow its run by
+// itself is brought up to date; what it lacks is read again within a few tens of milliseconds.
 constexpr milliseconds k_copy_check{200};
 constexpr milliseconds k_copy_refresh{1'000};
 // An engine's report is a few hundred milliseconds old and does not list a run that has just begun.
@@ -33,8 +33,9 @@
 constexpr double k_answer_timeout_part = 0.55;
 // Less time than this is no use to a target.
 constexpr milliseconds k_least_time{30};
-// A request at a target that was found lost does not wait on if it has received nothing for this long. A prompt
-// that is read beside a stream stretches its gaps to about 200 ms, so one silent stream says less of the others.
+// A request at a target that was found lost does not wait on if it has received nothing for this long. A
+// prompt that is read beside a stream stretches its gaps to about 200 ms, so one silent stream says less of
+// the others.
 constexpr milliseconds k_silence_at_lost_target{120};
 constexpr milliseconds k_silence_at_silent_target{260};
 // Streams over which their time is averaged.
@@ -73,7 +74,7 @@
 
 std::shared_ptr<proxied_request> proxied_request::start(gateway_traffic& traffic, caller_request request,
                                                         caller_port caller, std::function<void()> on_done) {
-    const std::shared_ptr<proxied_request> created(
+    std::shared_ptr<proxied_request> created(
         new proxied_request(traffic, std::move(request), std::move(caller), std::move(on_done)));
     created->admit();
     return created;
@@ -82,8 +83,7 @@
 proxied_request::proxied_request(gateway_traffic& traffic, caller_request request, caller_port caller,
                                  std::function<void()> on_done)
     : m_traffic(traffic), m_request(std::move(request)), m_caller(std::move(caller)),
-      m_on_done(std::move(on_done)), m_table(traffic.view->table),
-      m_last_event_id(m_request.last_event_id) {
+      m_on_done(std::move(on_done)), m_table(traffic.view->table), m_last_event_id(m_request.last_event_id) {
     m_traffic.requests.insert(this);
 }
 
@@ -96,8 +96,7 @@
         refuse(error_kind::not_ready, "no configuration is known yet");
         return;
     }
-    const auto decision =
-        decide_access(*m_table, m_request.host, m_request.forwarded->target, m_request.key);
+    const auto decision = decide_access(*m_table, m_request.host, m_request.forwarded->target, m_request.key);
     const bool is_public = decision.route != nullptr && decision.route->is_public;
     if (m_table->has_organisations && !is_public && !can_trust_keys(m_traffic)) {
         refuse(error_kind::store_unavailable, "the configuration may be out of date");
@@ -337,21 +336,22 @@
     }
     current.is_copying = true;
     current.copy_checked = m_traffic.timers.now();
-    copy_run(m_traffic, current.address, m_request.forwarded->id, copy,
-             [self = shared_from_this(), number = current.number, copy](const std::optional<std::string>& name) {
-                 if (self->m_is_done || !self->m_attempt || self->m_attempt->number != number) {
-                     if (name) {
-                         free_copy(self->m_traffic, copy.source_address, *name);
-                     }
-                     return;
-                 }
-                 self->m_attempt->is_copying = false;
-                 auto made = copy;
-                 made.name = name.value_or(copy.name);
-                 if (!made.name.empty()) {
-                     self->take_copy(std::move(made));
-                 }
-             });
+    copy_run(
+        m_traffic, current.address, m_request.forwarded->id, copy,
+        [self = shared_from_this(), number = current.number, copy](const std::optional<std::string>& name) {
+            if (self->m_is_done || !self->m_attempt || self->m_attempt->number != number) {
+                if (name) {
+                    free_copy(self->m_traffic, copy.source_address, *name);
+                }
+                return;
+            }
+            self->m_attempt->is_copying = false;
+            auto made = copy;
+            made.name = name.value_or(copy.name);
+            if (!made.name.empty()) {
+                self->take_copy(std::move(made));
+            }
+        });
 }
 
 void proxied_request::take_copy(memory_copy copy) {
@@ -384,8 +384,8 @@
     if (facts.runs >= facts.max_attempts && !facts.has_copy) {
         return false;
     }
-    facts.has_budget = can_spend_retry(m_traffic.retries[m_service_name], retry_share(m_traffic),
-                                       m_traffic.timers.now());
+    facts.has_budget =
+        can_spend_retry(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
     const auto step = plan_next(facts);
     return step == next_step::send_again || step == next_step::resume_from_copy;
 }
@@ -416,7 +416,8 @@
     const bool is_event_stream = is_stream() && current.head.status == 200;
     if (is_event_stream) {
         std::string out;
-        split_events(current.events, bytes, [this, &out](const stream_event& event) { take_event(event, out); });
+        split_events(current.events, bytes,
+                     [this, &out](const stream_event& event) { take_event(event, out); });
         if (!out.empty()) {
             start_stream();
             m_caller.write(std::move(out));
@@ -677,11 +678,11 @@
     own.is_not_run = m_runs == 0 && answer.may_promise_not_run;
     if (!own.is_not_run && m_runs > 0 && answer.may_promise_not_run) {
         // The request may have run, so its answer must not state otherwise.
-        own.kind = kind == error_kind::deadline_exceeded ? error_kind::outcome_late : error_kind::target_failed;
+        own.kind =
+            kind == error_kind::deadline_exceeded ? error_kind::outcome_late : error_kind::target_failed;
     }
     if (answer.retryable && own.is_not_run) {
-        own.retry_after =
-            kind == error_kind::leaving ? leave_retry_after(m_traffic) : k_retry_after;
+        own.retry_after = kind == error_kind::leaving ? leave_retry_after(m_traffic) : k_retry_after;
     }
     m_caller.reply(own);
     finish(to_string(own.kind), detail);
--- a/src/traffic/target_call.cpp
+++ b/src/traffic/target_call.cpp
@@ -35,7 +35,9 @@
     events.on_head = [call](const answer_head& head) { call->reply.status = head.status; };
     events.on_body = [call](std::string_view bytes) { call->reply.body.append(bytes); };
     events.on_end = [call] { call->end(std::move(call->reply)); };
-    events.on_failure = [call](attempt_end /*end*/, const std::string& /*detail*/) { call->end(std::nullopt); };
+    events.on_failure = [call](attempt_end /*end*/, const std::string& /*detail*/) {
+        call->end(std::nullopt);
+    };
     attempt_order order;
     order.address = address;
     order.time_left = limit;
--- a/tests/scenarios/scenario_file.cpp
+++ b/tests/scenarios/scenario_file.cpp
@@ -2,7 +2,7 @@
 
 #include "scenario_run.h"
 
-#include "../../src/adapters/toml_parser.h"
+#include "../../src/adapters/base/toml_parser.h"
 
 #include <algorithm>
 #include <filesystem>
