--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -37,7 +37,7 @@
 /// What the connection to the store did lately.
 struct store_health {
     bool is_lost = false;
-    time_point recovered_at{};
+    std::optional<time_point> recovered_at;
 };
 
 struct belief_log {
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -16,9 +16,7 @@
 }
 
 bool is_reliable(const store_health& health, time_point now) {
-    const bool has_recovered =
-        health.recovered_at == time_point{} || now - health.recovered_at > k_return_time;
-    return !health.is_lost && has_recovered;
+    return !health.is_lost && (!health.recovered_at || now - *health.recovered_at > k_return_time);
 }
 
 void note_failure(gateway_state& state, const error& failure) {
@@ -97,7 +95,7 @@
         drop_target(state, id, "entry removed");
         return;
     }
-    const auto since = health.is_lost ? now : health.recovered_at;
+    const auto since = health.is_lost ? now : *health.recovered_at;
     found->second.missing_until = since + k_return_time;
 }
 
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -104,7 +104,7 @@
     }
     if (decision.verdict != access::allowed) {
         const bool is_unknown_key = decision.verdict == access::unknown_key;
-        refuse(is_unknown_key ? error_kind::unauthenticated : error_kind::not_found,
+        refuse(is_unknown_key ? error_kind::unauthenticated : error_kind::unknown_service,
                std::string(name_of(k_access_names, decision.verdict)));
         return;
     }
--- /dev/null
+++ b/tests/platform/gateway_test.py
@@ -0,0 +1,249 @@
+"""Process tests of lovage-gateway against stand-ins of the platform. Usage: gateway_test.py BINARY [CASE...]"""
+
+import asyncio
+import signal
+import sys
+import tempfile
+import time
+
+from gateway import Gateway, call, get
+from world import World
+
+ON_TIME_GAP_S = 0.7  # longest pause of the test's streaming route
+
+
+class Fixture:
+    def __init__(self, binary, folder, gateways):
+        self.binary, self.folder, self.count = binary, folder, gateways
+        self.world, self.gateways = World(), []
+
+    async def __aenter__(self):
+        await self.world.start()
+        seeds = []
+        for number in range(self.count):
+            gateway = Gateway(self.binary, self.folder, f"g{number}", self.world.store.address, list(seeds))
+            seeds.append(gateway.peer_address)
+            self.gateways.append(gateway)
+        for gateway in self.gateways:
+            await gateway.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for gateway in self.gateways:
+            await gateway.stop()
+        await self.world.stop()
+
+    @property
+    def port(self):
+        return self.gateways[0].port
+
+    def engine_of(self, outcome):
+        return next(e for e in self.world.engines if outcome.request_id in e.active)
+
+
+def check(condition, text):
+    if not condition:
+        raise AssertionError(text)
+
+
+def check_whole(outcome):
+    check(outcome.status == 200 and outcome.is_whole, f"{outcome.status} {outcome.detail}")
+    check(not outcome.problem(), outcome.problem())
+
+
+async def until(condition, limit_s, text):
+    end = time.monotonic() + limit_s
+    while not condition():
+        check(time.monotonic() < end, text)
+        await asyncio.sleep(0.02)
+
+
+async def serves_each_kind(f):
+    """Guards against a path that does not serve, and against keys that reach a server."""
+    for kind in ("stream", "publish", "read"):
+        check_whole(await call(f.port, kind))
+    check(f.world.keys_seen == {""}, f"a server got a key: {f.world.keys_seen}")
+    check(f.world.tenants_seen == {"org"}, f"tenants {f.world.tenants_seen}")
+    for key, path, status in (("none", "/read/x", 401), ("key-1", "/no/x", 404)):
+        outcome = await call(f.port, "read", key, path=path)
+        check(outcome.status == status, f"{path}: {outcome.status}")
+    check("lovage_gateway_requests" in (await get(f.gateways[0].metrics_port, "/metrics"))[1], "no metrics")
+
+
+async def break_engine(f, break_it):
+    broken = []
+
+    async def on_event(outcome):
+        if len(outcome.body) > 400 and not broken:
+            broken.append(f.engine_of(outcome))
+            await break_it(broken[0])
+
+    outcome = await call(f.port, "stream", on_event=on_event)
+    check_whole(outcome)
+    check(outcome.longest_gap < ON_TIME_GAP_S, f"gap {outcome.longest_gap:.3f} s")
+
+
+async def stream_lives_through_a_crash(f):
+    """Guards against a stream that ends, repeats or loses events when its engine crashes."""
+    await break_engine(f, lambda engine: engine.stop())
+
+
+async def stream_lives_through_silence(f):
+    """Guards against a stream that waits for an engine that has fallen silent."""
+
+    async def freeze(engine):
+        engine.freeze(True)
+
+    await break_engine(f, freeze)
+
+
+async def publish_runs_once(f):
+    """Guards against a second run of a request whose answer was lost, and against calling it not run."""
+    for server in f.world.plain:
+        server.lose_answers = True
+    outcome = await call(f.port, "publish")
+    check(outcome.status in (502, 504), f"status {outcome.status}")
+    runs = sum(server.runs.get(outcome.request_id, 0) for server in f.world.plain)
+    check(runs == 1, f"{runs} runs")
+
+
+async def read_is_repeated_once(f):
+    """Guards against a read that fails although another server could run it, and against a third run."""
+    for server in f.world.plain[:2]:
+        server.fail = True
+    outcomes = [await call(f.port, "read") for _ in range(12)]
+    check(any(o.status == 200 for o in outcomes), "no read was served")
+    for outcome in outcomes:
+        runs = sum(server.runs.get(outcome.request_id, 0) for server in f.world.plain)
+        check(runs <= 2, f"{runs} runs")
+
+
+async def draining_server_gets_no_new_work(f):
+    """Guards against new work for a server that announced its end."""
+    leaving = f.world.plain[0]
+    leaving.register("draining")
+    await asyncio.sleep(1.0)
+    before = len(leaving.runs)
+    for _ in range(10):
+        check_whole(await call(f.port, "read"))
+    check(len(leaving.runs) == before, "a draining server got work")
+
+
+async def restarted_server_is_found(f):
+    """Guards against requests that run at another server which has taken the address."""
+    for server in f.world.plain:
+        await server.stop()
+        await server.restart()
+    outcomes = [await call(f.port, "read") for _ in range(5)]
+    check(all(o.status in (200, 503) for o in outcomes), str([o.status for o in outcomes]))
+    await asyncio.sleep(1.0)
+    check_whole(await call(f.port, "read"))
+
+
+async def revoked_key_is_closed(f):
+    """Guards against a key that is accepted after it was taken away."""
+    check_whole(await call(f.port, "read", "key-2"))
+    f.world.keys = ["key-1"]
+    f.world.configure()
+    await asyncio.sleep(1.0)
+    check((await call(f.port, "read", "key-2")).status == 401, "a revoked key is accepted")
+    check_whole(await call(f.port, "read", "key-1"))
+
+
+async def lost_store_closes_keys(f):
+    """Guards against keys that are trusted without the store, and against a stop of service while they are."""
+    for mode in ("busy", "silent"):
+        f.world.store.mode = mode
+        await asyncio.sleep(1.0)
+        check_whole(await call(f.port, "read"))
+        await asyncio.sleep(5.0)
+        outcome = await call(f.port, "read")
+        check(outcome.status == 503 and outcome.headers.get("retry-after"), f"{mode}: {outcome.status}")
+        check(not await f.gateways[0].is_ready(), "ready without the store")
+        f.world.store.mode = "up"
+        await f.gateways[0].wait_ready()
+        check_whole(await call(f.port, "read"))
+
+
+async def forgotten_history_is_read_again(f):
+    """Guards against a process that stays behind when the store forgets its history."""
+    f.world.store.mode = "silent"
+    for writer in list(f.world.store.writers):
+        writer.transport.abort()
+    f.world.keys = ["key-3"]
+    f.world.configure()
+    f.world.plain[0].unregister()
+    f.world.store.compact()
+    f.world.store.mode = "up"
+    for writer in list(f.world.store.writers):
+        writer.transport.abort()
+    await asyncio.sleep(2.0)
+    check_whole(await call(f.port, "read", "key-3"))
+    check((await call(f.port, "read", "key-1")).status == 401, "an old key is accepted")
+
+
+async def planned_stop_cuts_nothing(f):
+    """Guards against requests that a planned stop cuts, and against a process that SIGHUP ends."""
+    gateway = f.gateways[0]
+    gateway.signal(signal.SIGHUP)
+    streams = [asyncio.create_task(call(f.port, "stream")) for _ in range(4)]
+    await asyncio.sleep(0.2)
+    gateway.signal(signal.SIGTERM)
+    await asyncio.sleep(0.2)
+    check(not await gateway.is_ready(), "ready after SIGTERM")
+    check_whole(await call(f.port, "read"))
+    for outcome in await asyncio.gather(*streams):
+        check_whole(outcome)
+    check(await asyncio.wait_for(gateway.process.wait(), 8.0) == 0, "exit code")
+
+
+async def killed_process_serves_again(f):
+    """Guards against a restart that needs more than the store."""
+    await f.gateways[0].stop()
+    began = time.monotonic()
+    await f.gateways[0].start()
+    check(time.monotonic() - began < 2.0, "not ready within 2 s")
+    check_whole(await call(f.port, "stream"))
+
+
+async def stopped_work_of_gone_callers(f):
+    """Guards against work at servers for callers who have left."""
+    task = asyncio.create_task(call(f.port, "stream"))
+    await until(lambda: any(e.active for e in f.world.engines), 2.0, "no stream started")
+    await asyncio.sleep(0.2)
+    task.cancel()
+    await until(lambda: not any(e.active for e in f.world.engines), 0.5, "work goes on after the caller left")
+
+
+CASES = [serves_each_kind, stream_lives_through_a_crash, stream_lives_through_silence, publish_runs_once,
+         read_is_repeated_once, draining_server_gets_no_new_work, restarted_server_is_found, revoked_key_is_closed,
+         lost_store_closes_keys, forgotten_history_is_read_again, planned_stop_cuts_nothing,
+         killed_process_serves_again, stopped_work_of_gone_callers]
+
+
+async def run_case(binary, case):
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            async with Fixture(binary, folder, 2) as fixture:
+                await case(fixture)
+            return ""
+        except Exception as failure:  # a failing case must not end the run
+            with open(folder + "/g0.log", encoding="utf-8") as log:
+                tail = "".join(log.readlines()[-5:])
+            return f"{type(failure).__name__}: {failure}\n{tail}"
+
+
+def main():
+    binary, names = sys.argv[1], sys.argv[2:]
+    failed = 0
+    cases = [c for c in CASES if not names or c.__name__ in names]
+    for case in cases:
+        problem = asyncio.run(run_case(binary, case))
+        failed += bool(problem)
+        print(f"{'FAILED' if problem else 'ok':7}{case.__name__} {problem}", flush=True)
+    print(f"{len(cases) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/platform/world.py
@@ -0,0 +1,342 @@
+"""Stand-ins for the users' platform on loopback: its store, model servers and plain servers.
+
+Faults are set on the objects: a store that refuses, is silent or forgets its history; servers that crash, fall
+silent, lose answers or fail.
+"""
+
+import asyncio
+import base64
+import json
+import urllib.parse
+
+EVENTS = 40  # events of each stream
+EVENT_S = 0.015  # time between events
+READ_S = 0.08  # time to read a prompt
+COPY_S = 0.05  # time between two parts of a copy
+LEASE_EVENTS = 4096  # changes that the store keeps
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method, self.headers, self.body = method, headers, body
+        parsed = urllib.parse.urlsplit(target)
+        self.target, self.path = target, parsed.path
+        self.query = dict(urllib.parse.parse_qsl(parsed.query, keep_blank_values=True))
+
+
+async def read_request(reader):
+    """The next request of a connection, or None at its end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return Request(method, target, headers, body)
+
+
+def answer(status, body=b"", headers=()):
+    text = f"HTTP/1.1 {status} X\r\n" + "".join(f"{k}: {v}\r\n" for k, v in headers)
+    return text.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class HttpServer:
+    """A server whose connections can be reset or frozen; subclasses handle requests."""
+
+    def __init__(self):
+        self.port, self.server = 0, None
+        self.writers, self.tasks = set(), set()
+        self.is_frozen = False
+        self.frozen_end = asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    async def pass_freeze(self):
+        while self.is_frozen:
+            await self.frozen_end.wait()
+
+    def freeze(self, frozen):
+        self.is_frozen = frozen
+        if not frozen:
+            self.frozen_end.set()
+            self.frozen_end = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        self.tasks.add(asyncio.current_task())
+        try:
+            while (request := await read_request(reader)) is not None:
+                await self.pass_freeze()
+                if not await self.handle(request, writer):
+                    break
+        except (ConnectionError, asyncio.CancelledError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            self.tasks.discard(asyncio.current_task())
+            writer.transport.abort()
+
+    async def stop(self):
+        if self.server:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.sleep(0)
+
+
+class Store(HttpServer):
+    def __init__(self):
+        super().__init__()
+        self.items, self.history = {}, []
+        self.revision, self.first_kept = 1, 0
+        self.changed = asyncio.Event()
+        self.mode = "up"  # up, busy (503), silent
+        self.calls = 0
+
+    def put(self, key, value):
+        self.revision += 1
+        text = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.items[key] = {"Key": key, "Value": base64.b64encode(text).decode(), "Revision": self.revision}
+        self.note(dict(self.items[key]))
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.note({"Key": key, "Revision": self.revision, "Deleted": True})
+
+    def note(self, event):
+        self.history = (self.history + [event])[-LEASE_EVENTS:]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def compact(self):
+        self.history, self.first_kept = [], self.revision
+
+    async def watch(self, request):
+        prefix, after = request.query["Prefix"], int(request.query["After"])
+        end = asyncio.get_running_loop().time() + int(request.query["WaitMs"]) / 1000
+        while True:
+            if after < self.first_kept:
+                return answer(410)
+            found = [e for e in self.history if e["Revision"] > after and e["Key"].startswith(prefix)]
+            left = end - asyncio.get_running_loop().time()
+            if found or left <= 0:
+                body = {"events": found, "StoreRevision": self.revision}
+                return answer(200, json.dumps(body).encode())
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    async def handle(self, request, writer):
+        self.calls += 1
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        if self.mode == "busy":
+            out = answer(503)
+        elif request.path == "/kv-watch":
+            out = await self.watch(request)
+            if self.mode != "up":
+                out = answer(503)
+        elif request.path == "/kv-range":
+            items = [v for k, v in sorted(self.items.items()) if k.startswith(request.query["Prefix"])]
+            rest = [i for i in items if i["Key"] > request.query.get("After", "")]
+            body = {"Items": rest[:3], "MorePages": len(rest) > 3, "StoreRevision": self.revision}
+            out = answer(200, json.dumps(body).encode())
+        else:
+            out = answer(404)
+        writer.write(out)
+        await writer.drain()
+        return True
+
+
+class Target(HttpServer):
+    """What model servers and plain servers share: a registration and a record of what ran."""
+
+    def __init__(self, world, name, service, zone):
+        super().__init__()
+        self.world, self.name, self.service, self.zone = world, name, service, zone
+        self.life = 0
+        self.runs = {}
+
+    @property
+    def id(self):
+        return f"i-{self.name}-{self.life}"
+
+    def register(self, state="ready"):
+        entry = {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1",
+                 "Slots": 24, "State": state, "ColdLeftMs": 0, "Seq": 1}
+        self.world.store.put("servers/" + self.id, entry)
+
+    def unregister(self):
+        self.world.store.remove("servers/" + self.id)
+
+    async def restart(self):
+        self.unregister()
+        self.life += 1
+        await self.start()
+        self.register()
+
+    def reply_headers(self, request):
+        return [("Request-Id", request.headers.get("request-id", "")), ("Response-Seal", "seal." + self.id)]
+
+    def note_run(self, request):
+        self.runs[request.headers["request-id"]] = self.runs.get(request.headers["request-id"], 0) + 1
+        self.world.keys_seen.add(request.headers.get("authorization", ""))
+        self.world.tenants_seen.add(request.headers.get("tenant", ""))
+
+
+class PlainServer(Target):
+    lose_answers = False
+    fail = False
+    work_s = 0.02
+
+    async def handle(self, request, writer):
+        if request.headers.get("expect-instance") != self.id:
+            writer.write(answer(421, headers=[("Instance-Id", self.id)]))
+            return True
+        self.note_run(request)
+        await asyncio.sleep(self.work_s)
+        await self.pass_freeze()
+        if self.lose_answers:
+            return False
+        body = ("answer to " + request.headers["request-id"]).encode()
+        writer.write(answer(500 if self.fail else 200, body, self.reply_headers(request)))
+        await writer.drain()
+        return True
+
+
+class Engine(Target):
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.copies, self.active = {}, {}
+
+    async def stop(self):
+        await super().stop()
+        self.copies, self.active = {}, {}
+
+    async def handle(self, request, writer):
+        if request.path == "/report":
+            runs = [[k, 100, v, 5] for k, v in self.active.items() if v > 0]
+            body = {"Running": len(self.active), "Waiting": 0, "Runs": runs}
+            writer.write(answer(200, json.dumps(body).encode()))
+            return True
+        if request.path == "/kv-move":
+            order = json.loads(request.body)
+            holder = self.world.engine_at(order["Target"])
+            if order["Id"] not in self.active or holder is None:
+                writer.write(answer(404))
+            else:
+                holder.copies["m-" + order["Id"]] = self.active[order["Id"]]
+                writer.write(answer(200, json.dumps({"Handle": "m-" + order["Id"]}).encode()))
+            return True
+        if request.path.startswith("/kv-handle/"):
+            writer.write(answer(200))
+            return True
+        return await self.stream(request, writer)
+
+    async def stream(self, request, writer):
+        headers, request_id = request.headers, request.headers["request-id"]
+        if headers.get("expect-instance") != self.id:
+            writer.write(answer(421, headers=[("Instance-Id", self.id)]))
+            return True
+        source = headers.get("kv-from")
+        if source is not None and self.copies.pop(source.split("/", 1)[1], None) is None:
+            writer.write(answer(503, headers=[("Not-Executed", "1")]))
+            return True
+        self.note_run(request)
+        done = int(headers.get("last-event-id", "0"))
+        self.active[request_id] = 0
+        try:
+            await asyncio.sleep(0.005 if source else READ_S)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+            writer.write("".join(f"{k}: {v}\r\n" for k, v in self.reply_headers(request)).encode() + b"\r\n")
+            next_copy = 0.0
+            for number in range(done + 1, EVENTS + 1):
+                await self.pass_freeze()
+                event = f"id: {number}\ndata: {request_id}:{number}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+                if writer.transport.is_closing():
+                    return False
+                self.active[request_id] = number
+                now = asyncio.get_running_loop().time()
+                holder = self.world.engine_at(headers.get("kv-backup", ""))
+                if holder is not None and holder.server is not None and now >= next_copy:
+                    holder.copies[request_id] = number
+                    next_copy = now + COPY_S
+                await asyncio.sleep(EVENT_S)
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            return True
+        finally:
+            self.active.pop(request_id, None)
+
+
+class World:
+    """One deployment: a store, model servers and plain servers in three zones, and the operator's configuration."""
+
+    def __init__(self, engines=6, plain=3):
+        zones = ["a", "b", "c"]
+        self.store = Store()
+        self.engines = [Engine(self, f"e{i}", "models", zones[i % 3]) for i in range(engines)]
+        self.plain = [PlainServer(self, f"p{i}", "app", zones[i % 3]) for i in range(plain)]
+        self.version = 0
+        self.keys = ["key-1", "key-2"]
+        self.keys_seen, self.tenants_seen = set(), set()
+
+    @property
+    def targets(self):
+        return self.engines + self.plain
+
+    def engine_at(self, address):
+        return next((e for e in self.engines if e.address == address), None)
+
+    def configure(self):
+        self.version += 3
+
+        def route(name, kind, service, attempts, timeout, aim):
+            return {"Name": name, "Host": "h.example", "Prefix": f"/{name}/", "Kind": kind, "TimeoutMs": timeout,
+                    "SloMs": aim, "Priority": 1, "Service": service, "MaxAttempts": attempts, "Public": False,
+                    "Resumable": kind == "streaming", "GapAimMs": 700}
+
+        self.store.put("op/config", {
+            "Version": self.version,
+            "Routes": [route("stream", "streaming", "models", 5, 10000, 2000),
+                       route("publish", "non_idempotent", "app", 1, 1500, 300),
+                       route("read", "idempotent", "app", 2, 1500, 300)],
+            "Services": [{"Name": "models", "MaxConns": 200, "Engine": {"Slots": 24, "KvCapacityTokens": 88000,
+                                                                     "Backups": True}},
+                         {"Name": "app", "MaxConns": 100}],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 1000,
+                       "IdleTimeoutMs": 15000},
+            "Tenants": [{"Name": "org", "ApiKeys": self.keys}]})
+
+    async def start(self):
+        await self.store.start()
+        for target in self.targets:
+            await target.start()
+            target.register()
+        self.configure()
+
+    async def stop(self):
+        for server in self.targets + [self.store]:
+            server.freeze(False)
+            await server.stop()
--- /dev/null
+++ b/tests/support/fake_gateway.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "lovage/traffic/proxied_request.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lovage::testing {
+
+/// An attempt that the code under test has opened.
+struct fake_attempt {
+    std::shared_ptr<const forwarded_request> request;
+    attempt_order order;
+    attempt_events events;
+    bool is_cancelled = false;
+};
+
+/// What a caller has received.
+struct fake_caller {
+    std::string body;
+    int status = 0;
+    bool is_finished = false;
+    bool is_broken_off = false;
+    std::vector<own_answer> replies;
+};
+
+/// The traffic thread's surroundings with scripted time and targets.
+class fake_gateway {
+public:
+    fake_gateway() {
+        traffic.options.zone = "a";
+        traffic.options.retries = {1.0, 100.0, milliseconds(10'000)};
+        traffic.options.key_trust = std::chrono::seconds(5);
+        traffic.boot_clock = [this] { return boot; };
+        traffic.timers.now = [this] { return now; };
+        traffic.timers.after = [this](milliseconds delay, std::function<void()> callback) {
+            const auto id = ++m_timers_made;
+            m_timers[{now + delay, id}] = std::move(callback);
+            return timer_cancel([this, key = std::pair(now + delay, id)] { m_timers.erase(key); });
+        };
+        traffic.targets.open = [this](auto request, attempt_order order, attempt_events events) {
+            auto attempt = std::make_shared<fake_attempt>(
+                fake_attempt{std::move(request), std::move(order), std::move(events), false});
+            attempts.push_back(attempt);
+            return attempt_handle{[attempt] { attempt->is_cancelled = true; }, [](bool) {}};
+        };
+        traffic.targets.forget = [](const std::string&) {};
+        traffic.sink.log = [](log_level, std::string_view, const std::vector<log_field>&) {};
+        traffic.sink.count = [](const std::string&, const std::string&) {};
+        traffic.sink.observe = [](const std::string&, double) {};
+    }
+
+    /// Publishes a route of `kind` below "/r/" at "host" with the targets "t1" to "t<count>", in zones "a",
+    /// "b" and "c" in turn.
+    void publish(request_kind kind, std::uint32_t max_attempts, int target_count) {
+        auto table = std::make_shared<route_table>();
+        table->version = 1;
+        lovage::route entry;
+        entry.name = "route";
+        entry.host = "host";
+        entry.prefix = "/r/";
+        entry.kind = kind;
+        entry.timeout = milliseconds(20'000);
+        entry.objective = milliseconds(4'500);
+        entry.longest_gap = milliseconds(700);
+        entry.services = {{"service", 1.0}};
+        entry.max_attempts = max_attempts;
+        entry.is_resumable = kind == request_kind::streaming;
+        table->routes = {entry};
+        service_definition service;
+        service.name = "service";
+        if (kind == request_kind::streaming) {
+            service.engine = engine_traits{24, 88'000, true};
+        }
+        table->services["service"] = service;
+        table->organisation_by_key["key"] = "org";
+        table->has_organisations = true;
+        index_routes(*table);
+        auto targets = std::make_shared<std::map<std::string, target_list>>();
+        for (int i = 1; i <= target_count; ++i) {
+            target_record record;
+            record.id = "t" + std::to_string(i);
+            record.service = "service";
+            record.address = "10.0.0." + std::to_string(i) + ":80";
+            record.zone = std::string(1, static_cast<char>('a' + (i - 1) % 3));
+            (*targets)["service"].push_back(record);
+        }
+        auto view = std::make_shared<gateway_view>();
+        view->table = table;
+        view->targets = targets;
+        take_view(traffic, view);
+    }
+
+    std::shared_ptr<proxied_request> request(std::string key = "key", std::string target = "/r/x") {
+        auto forwarded = std::make_shared<forwarded_request>();
+        forwarded->method = "POST";
+        forwarded->target = std::move(target);
+        forwarded->id = "id";
+        caller_request caller_side;
+        caller_side.forwarded = forwarded;
+        caller_side.host = "host";
+        caller_side.key = std::move(key);
+        caller_side.prompt_tokens = 8'000;
+        caller_side.received = now;
+        caller_port port;
+        port.reply = [this](const own_answer& answer) { caller.replies.push_back(answer); };
+        port.start = [this](const answer_head& head, std::optional<std::size_t>) {
+            caller.status = head.status;
+        };
+        port.write = [this](const std::string& bytes) { caller.body += bytes; };
+        port.finish = [this] { caller.is_finished = true; };
+        port.break_off = [this] { caller.is_broken_off = true; };
+        port.backlog = [] { return std::size_t{0}; };
+        return proxied_request::start(traffic, std::move(caller_side), std::move(port), nullptr);
+    }
+
+    static answer_head head(int status) {
+        answer_head made;
+        made.status = status;
+        made.is_own = true;
+        made.is_marked = true;
+        return made;
+    }
+
+    static std::string event(int number) { return "id: " + std::to_string(number) + "\ndata: x\n\n"; }
+
+    /// Lets time pass and runs the timers that are due on the way.
+    void advance(milliseconds by) {
+        const auto end = now + by;
+        while (!m_timers.empty() && m_timers.begin()->first.first <= end) {
+            now = std::max(now, m_timers.begin()->first.first);
+            const auto callback = std::move(m_timers.begin()->second);
+            m_timers.erase(m_timers.begin());
+            callback();
+        }
+        now = end;
+    }
+
+    time_point now{std::chrono::seconds(100)};
+    boot_time boot{0};
+    std::vector<std::shared_ptr<fake_attempt>> attempts;
+    fake_caller caller;
+    gateway_traffic traffic;
+
+private:
+    std::uint64_t m_timers_made = 0;
+    std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> m_timers;
+};
+
+} // namespace lovage::testing
--- /dev/null
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -0,0 +1,281 @@
+#include "lovage/core/attempt_plan.h"
+#include "lovage/core/event_splitter.h"
+#include "lovage/core/leave_plan.h"
+#include "lovage/core/retry_window.h"
+#include "lovage/core/route_table.h"
+#include "lovage/core/silence_plan.h"
+#include "lovage/core/stream_silence.h"
+#include "lovage/core/target_choice.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace lovage {
+
+namespace {
+
+time_point at_ms(std::int64_t ms) {
+    return time_point(milliseconds(ms));
+}
+
+route_table make_table() {
+    route_table table;
+    for (const char* prefix : {"/a/", "/a/b/", "/"}) {
+        route entry;
+        entry.name = prefix;
+        entry.host = "Host.example";
+        entry.prefix = prefix;
+        entry.services = {{"s", 1.0}};
+        table.routes.push_back(entry);
+    }
+    table.routes[1].is_public = true;
+    table.has_organisations = true;
+    table.organisation_by_key["k"] = "org";
+    index_routes(table);
+    return table;
+}
+
+struct route_case {
+    const char* host;
+    const char* target;
+    const char* key;
+    access verdict;
+    const char* route;
+};
+
+// Guards against requests that reach a route of another prefix, or without a key.
+TEST_CASE("the longest prefix of the path decides") {
+    const auto test = GENERATE(from_range(std::vector<route_case>{
+        {"host.example", "/a/x", "k", access::allowed, "/a/"},
+        {"host.example:80", "/a/b/x?q=/z/", "", access::allowed, "/a/b/"},
+        {"HOST.example", "/a/b", "k", access::allowed, "/a/"},
+        {"host.example", "/ab/x", "k", access::allowed, "/"},
+        {"host.example", "/a/x", "no", access::unknown_key, "/a/"},
+        {"other.example", "/a/x", "k", access::unknown_route, ""},
+    }));
+    CAPTURE(test.host, test.target);
+    const auto table = make_table();
+    const auto decision = decide_access(table, test.host, test.target, test.key);
+    CHECK(decision.verdict == test.verdict);
+    CHECK((decision.route != nullptr ? decision.route->name : "") == test.route);
+}
+
+struct plan_case {
+    const char* name;
+    attempt_facts facts;
+    next_step step;
+};
+
+attempt_facts facts(attempt_end end, bool repeatable, bool delivered, bool copy, std::uint32_t runs,
+                    std::uint32_t max_attempts) {
+    attempt_facts made;
+    made.end = end;
+    made.is_repeatable = repeatable;
+    made.has_delivered = delivered;
+    made.has_copy = copy;
+    made.runs = runs;
+    made.sends = 1;
+    made.max_attempts = max_attempts;
+    return made;
+}
+
+// Guards against second runs that are not allowed and against answers that promise too much.
+TEST_CASE("what follows an attempt depends on what has run") {
+    const auto test = GENERATE(from_range(std::vector<plan_case>{
+        {"refused connection", facts(attempt_end::unreachable, false, false, false, 0, 1),
+         next_step::send_again},
+        {"shed by the target", facts(attempt_end::not_run, false, false, false, 0, 1), next_step::send_again},
+        {"own failure, no attempt left", facts(attempt_end::failed_answer, true, false, false, 2, 2),
+         next_step::pass_failure},
+        {"own failure, one left", facts(attempt_end::failed_answer, true, false, false, 1, 2),
+         next_step::send_again},
+        {"lost, may not run again", facts(attempt_end::broken, false, false, false, 1, 5),
+         next_step::answer_unknown},
+        {"stream with a copy", facts(attempt_end::broken, true, true, true, 1, 5),
+         next_step::resume_from_copy},
+        {"copy counts as the same run", facts(attempt_end::broken, true, true, true, 1, 1),
+         next_step::resume_from_copy},
+        {"stream without a copy", facts(attempt_end::silent, true, true, false, 1, 5), next_step::send_again},
+        {"stream that may not be resumed", facts(attempt_end::broken, false, true, false, 1, 5),
+         next_step::break_off},
+    }));
+    CAPTURE(test.name);
+    CHECK(plan_next(test.facts) == test.step);
+    auto no_budget = test.facts;
+    no_budget.has_budget = false;
+    const auto step = plan_next(no_budget);
+    CHECK((step != next_step::send_again && step != next_step::resume_from_copy));
+}
+
+struct silence_plan_case {
+    const char* name;
+    bool has_event;
+    std::int64_t silence_ms;
+    std::optional<run_status> status;
+    silence_step step;
+};
+
+// Guards against prompts that are read twice because an engine is busy, and against waiting for a lost
+// answer.
+TEST_CASE("a silent engine is asked before its stream is given up") {
+    const auto test = GENERATE(from_range(std::vector<silence_plan_case>{
+        {"short silence", true, 200, std::nullopt, silence_step::wait},
+        {"ask", true, 260, std::nullopt, silence_step::ask},
+        {"no answer", true, 360, run_status{run_state::no_answer, 0}, silence_step::give_up},
+        {"not known there", false, 260, run_status{run_state::absent, 0}, silence_step::give_up},
+        {"reads the prompt", false, 3'000, run_status{run_state::unlisted, 0}, silence_step::wait},
+        {"ended there", true, 260, run_status{run_state::unlisted, 0}, silence_step::give_up},
+        {"busy", true, 260, run_status{run_state::present, 12}, silence_step::wait},
+        {"busy for too long", true, 400, run_status{run_state::present, 12}, silence_step::give_up},
+        {"answer lost", false, 260, run_status{run_state::present, 90}, silence_step::give_up},
+        {"tells nothing, early", true, 260, run_status{run_state::not_told, 0}, silence_step::wait},
+        {"tells nothing, late", true, 360, run_status{run_state::not_told, 0}, silence_step::give_up},
+    }));
+    CAPTURE(test.name);
+    silence_facts made;
+    made.has_event = test.has_event;
+    made.last_event = test.has_event ? 10 : 0;
+    made.ask_after = milliseconds(250);
+    made.give_up_after = milliseconds(350);
+    made.silence = milliseconds(test.silence_ms);
+    made.status = test.status;
+    CHECK(decide_silence(made).step == test.step);
+}
+
+// Guards against the pace of a busy engine being taken as a loss, and against a loss found too late.
+TEST_CASE("the silence limit follows the stream's pace within bounds") {
+    struct pace_case {
+        double gap_ms;
+        std::int64_t longest_gap_ms;
+        std::int64_t limit_ms;
+    };
+    const auto test = GENERATE(from_range(
+        std::vector<pace_case>{{30.0, 700, 350}, {200.0, 700, 385}, {30.0, 0, 350}, {200.0, 0, 1'000}}));
+    stream_pace pace;
+    for (int i = 1; i <= 50; ++i) {
+        record_event(pace, at_ms(static_cast<std::int64_t>(i * test.gap_ms)));
+    }
+    CHECK(silence_limit(pace, milliseconds(test.longest_gap_ms)) == milliseconds(test.limit_ms));
+}
+
+// Guards against torn events that are passed on when a target breaks off.
+TEST_CASE("only whole events leave the splitter") {
+    const std::string stream = "id: 7\ndata: a\n\n: note\n\nid:8\ndata: b\n\nid: 9\ndat";
+    const auto step = GENERATE(1U, 3U, 1'000U);
+    event_splitter splitter;
+    std::string out;
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < stream.size(); i += step) {
+        split_events(splitter, std::string_view(stream).substr(i, step), [&](const stream_event& event) {
+            out.append(event.text);
+            ids.emplace_back(event.id);
+        });
+    }
+    CHECK(out == stream.substr(0, stream.find("id: 9")));
+    CHECK(ids == std::vector<std::string>{"7", "", "8"});
+    CHECK(splitter.partial == "id: 9\ndat");
+}
+
+// Guards against retries of one process that eat the budget of all.
+TEST_CASE("retries stay within the share of the window") {
+    retry_window window;
+    const retry_window_limits limits{0.5, 3.0, milliseconds(10'000)};
+    for (int i = 0; i < 10; ++i) {
+        record_first_send(window, limits, at_ms(i));
+    }
+    int spent = 0;
+    while (try_spend_retry(window, limits, at_ms(100))) {
+        ++spent;
+    }
+    CHECK(spent == 8);
+    CHECK_FALSE(can_spend_retry(window, limits, at_ms(9'000)));
+    CHECK(can_spend_retry(window, limits, at_ms(12'000)));
+}
+
+struct choice_case {
+    const char* name;
+    std::vector<target_usage> usage;
+    std::vector<std::string> zones;
+    placement want;
+    std::size_t chosen;
+};
+
+target_usage busy(std::uint32_t in_flight) {
+    target_usage usage;
+    usage.in_flight = in_flight;
+    return usage;
+}
+
+target_usage avoided() {
+    target_usage usage;
+    record_target_failure(usage, target_trouble::unreachable, at_ms(1'000));
+    return usage;
+}
+
+placement want_from(std::string zone, std::vector<std::string> excluded, std::vector<std::string> troubled) {
+    placement want;
+    want.zone = std::move(zone);
+    want.excluded = std::move(excluded);
+    want.troubled_zones = std::move(troubled);
+    want.now = at_ms(1'001);
+    return want;
+}
+
+// Guards against work that goes to busy, failed or excluded targets while others are free.
+TEST_CASE("the least loaded sound target is chosen") {
+    const auto test = GENERATE(from_range(std::vector<choice_case>{
+        {"less loaded", {busy(3), busy(0)}, {"a", "b"}, want_from("a", {}, {}), 1},
+        {"same zone", {busy(0), busy(0)}, {"a", "b"}, want_from("b", {}, {}), 1},
+        {"failed just now", {avoided(), busy(9)}, {"a", "a"}, want_from("a", {}, {}), 1},
+        {"excluded", {busy(0), busy(9)}, {"a", "a"}, want_from("a", {"t0"}, {}), 1},
+        {"zone in trouble", {busy(0), busy(4)}, {"a", "b"}, want_from("a", {}, {"a"}), 1},
+    }));
+    CAPTURE(test.name);
+    std::vector<target_record> records(test.usage.size());
+    std::vector<target_candidate> candidates;
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        records[i].id = "t" + std::to_string(i);
+        records[i].zone = test.zones[i];
+        candidates.push_back({&records[i], test.usage[i]});
+    }
+    std::mt19937_64 random(1);
+    CHECK(choose_run(candidates, test.want, random) == test.chosen);
+}
+
+// Guards against a copy in the zone whose loss it is for.
+TEST_CASE("a copy goes to another zone while there is one") {
+    const bool has_other_zone = GENERATE(true, false);
+    std::vector<target_record> records(2);
+    records[0].id = "same";
+    records[0].zone = "a";
+    records[1].id = "other";
+    records[1].zone = has_other_zone ? "b" : "a";
+    const std::vector<target_candidate> candidates{{&records[0], busy(0)}, {&records[1], busy(5)}};
+    placement want;
+    want.zone = "a";
+    want.avoided_zone = "a";
+    std::mt19937_64 random(1);
+    CHECK(choose_copy(candidates, want, random) == (has_other_zone ? 1U : 0U));
+}
+
+// Guards against a stop that cuts requests or lasts until the kill.
+TEST_CASE("the phases of a planned stop") {
+    struct phase_case {
+        std::int64_t since_ms;
+        std::size_t requests;
+        leave_phase phase;
+    };
+    const auto test = GENERATE(from_range(std::vector<phase_case>{{0, 0, leave_phase::leaving},
+                                                                  {2'900, 0, leave_phase::leaving},
+                                                                  {3'000, 0, leave_phase::stopped},
+                                                                  {6'000, 4, leave_phase::leaving},
+                                                                  {6'800, 4, leave_phase::closing},
+                                                                  {7'700, 4, leave_phase::stopped}}));
+    CAPTURE(test.since_ms);
+    CHECK(plan_leave({milliseconds(test.since_ms), milliseconds(8'000), test.requests}) == test.phase);
+}
+
+} // namespace
+
+} // namespace lovage
--- /dev/null
+++ b/tests/unit/gateway_state_test.cpp
@@ -0,0 +1,162 @@
+#include "lovage/control/gateway_state.h"
+
+#include "documents.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace lovage {
+
+namespace {
+
+time_point at_ms(std::int64_t ms) {
+    return time_point(milliseconds(ms));
+}
+
+gateway_state make_state() {
+    gateway_state state;
+    state.documents = platform::make_documents();
+    return state;
+}
+
+store_change config(std::uint64_t version, std::uint64_t revision) {
+    const std::string text = R"({"Version":)" + std::to_string(version) +
+                             R"(,"Routes":[{"Name":"r","Host":"h","Prefix":"/p/","Kind":"idempotent",)"
+                             R"("TimeoutMs":800,"SloMs":300,"Service":"s","MaxAttempts":2}],"Services":[]})";
+    return {"op/config", store_value{text, revision}};
+}
+
+store_change target(const std::string& id, const std::string& address, const std::string& phase,
+                    std::uint64_t revision, const std::string& version = "v1") {
+    const std::string text = R"({"Service":"s","Address":")" + address + R"(","Zone":"a","Version":")" +
+                             version + R"(","Slots":4,"State":")" + phase + R"("})";
+    return {"servers/" + id, store_value{text, revision}};
+}
+
+followed_event whole(std::vector<store_change> changes) {
+    followed_event event;
+    event.is_whole = true;
+    event.changes = std::move(changes);
+    event.revision = 10;
+    return event;
+}
+
+followed_event changed(std::vector<store_change> changes) {
+    auto event = whole(std::move(changes));
+    event.is_whole = false;
+    return event;
+}
+
+followed_event failure() {
+    followed_event event;
+    event.failure = error{error_kind::store_unavailable, "scripted", milliseconds(0)};
+    return event;
+}
+
+std::vector<std::string> ids(gateway_state& state) {
+    const auto view = make_gateway_view(state);
+    std::vector<std::string> found;
+    if (view->targets && view->targets->count("s") > 0) {
+        for (const auto& record : view->targets->at("s")) {
+            found.push_back(record.id);
+        }
+    }
+    return found;
+}
+
+// Guards against a first list that is never shown (a restarted process served nothing).
+TEST_CASE("the first whole content shows the configuration and the targets") {
+    auto state = make_state();
+    CHECK_FALSE(make_gateway_view(state)->targets);
+    follow(state, whole({config(3, 1), target("t1", "10.0.0.1:1", "ready", 2)}), at_ms(0));
+    const auto view = make_gateway_view(state);
+    REQUIRE(view->table);
+    CHECK(view->table->version == 3);
+    CHECK(ids(state) == std::vector<std::string>{"t1"});
+}
+
+// Guards against a configuration that goes back within a process.
+TEST_CASE("an older configuration is never taken") {
+    auto state = make_state();
+    follow(state, whole({config(5, 9)}), at_ms(0));
+    follow(state, changed({config(4, 11)}), at_ms(1));
+    CHECK(make_gateway_view(state)->table->version == 5);
+    follow(state, changed({config(9, 12)}), at_ms(2));
+    CHECK(make_gateway_view(state)->table->version == 9);
+}
+
+struct removal_case {
+    const char* name;
+    bool is_store_lost;
+    const char* phase;
+    std::int64_t looked_at_ms;
+    bool is_kept;
+};
+
+// Guards against targets that are dropped because the store lost their entries, and against new work for ones
+// that have gone.
+TEST_CASE("a removed entry counts at once only while the store is reliable") {
+    const auto test = GENERATE(from_range(std::vector<removal_case>{
+        {"reliable", false, "ready", 100, false},
+        {"after an outage", true, "ready", 2'000, true},
+        {"did not come back", true, "ready", 2'400, false},
+        {"draining before the outage", true, "draining", 100, false},
+    }));
+    CAPTURE(test.name);
+    auto state = make_state();
+    follow(state, whole({config(1, 1), target("t1", "10.0.0.1:1", test.phase, 2)}), at_ms(-9'000));
+    if (test.is_store_lost) {
+        follow(state, failure(), at_ms(-5'000));
+        expire_targets(state, at_ms(-1'000));
+    }
+    follow(state, changed({{"servers/t1", std::nullopt}}), at_ms(0));
+    expire_targets(state, at_ms(test.looked_at_ms));
+    CHECK(ids(state).size() == (test.is_kept ? 1 : 0));
+}
+
+// Guards against work for a target whose address has another one, and for a version that is not judged yet.
+TEST_CASE("replaced targets and versions that are moved to are left out") {
+    auto state = make_state();
+    follow(state,
+           whole({config(1, 1), target("old", "10.0.0.1:1", "ready", 2),
+                  target("new", "10.0.0.1:1", "ready", 7), target("next", "10.0.0.2:1", "ready", 8, "v2")}),
+           at_ms(0));
+    CHECK(ids(state) == std::vector<std::string>{"new", "next"});
+    follow(state,
+           changed({{"op/rollout/s", store_value{R"({"Service":"s","Target":"v2","DurationS":12})", 9}}}),
+           at_ms(1));
+    CHECK(ids(state) == std::vector<std::string>{"new"});
+    follow(state, changed({{"op/rollout/s", std::nullopt}}), at_ms(2));
+    CHECK(ids(state) == std::vector<std::string>{"new", "next"});
+}
+
+// Guards against entries of another writer that bring the process down or name a target to use.
+TEST_CASE("an entry that cannot be read names no target") {
+    const std::string text = GENERATE(from_range(std::vector<std::string>{
+        "", "\xff\xfe", "[]", "{}", R"({"Service":7,"Address":"10.0.0.1:1","Zone":"a","State":"ready"})",
+        R"({"Service":"s","Address":"10.0.0.1:1","Zone":"a","State":"asleep"})",
+        R"({"Service":"s","Zone":"a","State":"ready"})"}));
+    CAPTURE(text);
+    auto state = make_state();
+    follow(state, whole({config(1, 1), {"servers/t1", store_value{text, 2}}}), at_ms(0));
+    CHECK(ids(state).empty());
+    CHECK(make_gateway_view(state)->table);
+}
+
+// Guards against a process that trusts keys longer than the store has confirmed them.
+TEST_CASE("only successful calls confirm the configuration") {
+    auto state = make_state();
+    auto event = whole({config(1, 1)});
+    event.confirmed = std::chrono::seconds(50);
+    follow(state, event, at_ms(0));
+    follow(state, failure(), at_ms(1));
+    CHECK(make_gateway_view(state)->table_confirmed == std::chrono::seconds(50));
+    CHECK(are_keys_trusted(std::chrono::seconds(50), std::chrono::seconds(55), std::chrono::seconds(5)));
+    CHECK_FALSE(are_keys_trusted(std::chrono::seconds(50), std::chrono::milliseconds(55'001),
+                                 std::chrono::seconds(5)));
+}
+
+} // namespace
+
+} // namespace lovage
--- /dev/null
+++ b/tests/unit/peer_exchange_test.cpp
@@ -0,0 +1,128 @@
+#include "support/fake_gateway.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lovage {
+
+namespace {
+
+using testing::fake_gateway;
+
+// Processes that send each other reports without loss, all at the same scripted time.
+class peer_net {
+public:
+    explicit peer_net(int count) {
+        for (int i = 0; i < count; ++i) {
+            auto gateway = std::make_unique<fake_gateway>();
+            auto& peers = gateway->traffic.peers;
+            peers.node = "n" + std::to_string(100 + i);
+            peers.address = "10.0.0." + std::to_string(i + 1) + ":7";
+            peers.started_ms = 1;
+            peers.seeds = {"10.0.0.1:7"};
+            peers.port.send = [this](const std::string& address, const peer_report& report) {
+                m_sent.emplace_back(address, report);
+            };
+            gateway->traffic.random.seed(static_cast<unsigned>(i));
+            m_gateways.push_back(std::move(gateway));
+        }
+        for (auto& gateway : m_gateways) {
+            start_peer_exchange(gateway->traffic);
+        }
+    }
+
+    void run(milliseconds time) {
+        for (milliseconds passed{0}; passed < time; passed += milliseconds(25)) {
+            for (auto& gateway : m_gateways) {
+                gateway->advance(milliseconds(25));
+            }
+            deliver();
+        }
+    }
+
+    fake_gateway& at(std::size_t index) { return *m_gateways.at(index); }
+    std::size_t size() const { return m_gateways.size(); }
+
+private:
+    void deliver() {
+        auto sent = std::exchange(m_sent, {});
+        for (const auto& [address, report] : sent) {
+            for (auto& gateway : m_gateways) {
+                if (gateway->traffic.peers.address == address) {
+                    take_report(gateway->traffic, report);
+                }
+            }
+        }
+    }
+
+    std::vector<std::unique_ptr<fake_gateway>> m_gateways;
+    std::deque<std::pair<std::string, peer_report>> m_sent;
+};
+
+// Guards against processes that never hear of some others, although all know a seed.
+TEST_CASE("all processes hear each other after some reports") {
+    const int count = GENERATE(3, 5, 22);
+    peer_net net(count);
+    net.run(milliseconds(8'000));
+    for (std::size_t i = 0; i < net.size(); ++i) {
+        CHECK(live_peers(net.at(i).traffic) == static_cast<std::size_t>(count - 1));
+    }
+}
+
+// Guards against load and troubles that stay with the process that found them.
+TEST_CASE("usage and troubles reach the other processes") {
+    peer_net net(3);
+    net.run(milliseconds(2'000));
+    auto& first = net.at(0).traffic;
+    first.usage["t1"].in_flight = 2;
+    first.usage["t1"].waiting_first = 1;
+    record_trouble(first, "service", "a", "t2", target_trouble::unreachable);
+    net.run(milliseconds(100));
+    auto& second = net.at(1).traffic;
+    CHECK(foreign_usage(second, "t1").in_flight == 2);
+    CHECK(foreign_usage(second, "t1").waiting_first == 1);
+    CHECK(second.usage["t2"].avoid_until > second.timers.now());
+    CHECK(second.usage["t2"].failures_in_row == 1);
+}
+
+// Guards against load of a process that has gone.
+TEST_CASE("a process that is silent no longer counts") {
+    peer_net net(2);
+    net.run(milliseconds(2'000));
+    auto& first = net.at(0);
+    CHECK(live_peers(first.traffic) == 1);
+    first.advance(milliseconds(1'700));
+    CHECK(live_peers(first.traffic) == 0);
+}
+
+// Guards against a silent stream that makes others give up streams whose gaps are only stretched.
+TEST_CASE("news of a silent target ends only requests that are stuck there") {
+    struct news_case {
+        target_trouble trouble;
+        std::int64_t silence_ms;
+        bool ends;
+    };
+    const auto test =
+        GENERATE(from_range(std::vector<news_case>{{target_trouble::silent, 200, false},
+                                                   {target_trouble::silent, 300, true},
+                                                   {target_trouble::unreachable, 100, false},
+                                                   {target_trouble::unreachable, 200, true},
+                                                   {target_trouble::request_failed, 300, false}}));
+    CAPTURE(static_cast<int>(test.trouble), test.silence_ms);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    auto& first = *gateway.attempts.at(0);
+    first.events.on_head(fake_gateway::head(200));
+    first.events.on_body(fake_gateway::event(1));
+    gateway.advance(milliseconds(test.silence_ms));
+    take_peer_trouble(gateway.traffic, {"service", "a", first.order.target_id, test.trouble, 1});
+    CHECK(gateway.attempts.size() == (test.ends ? 2 : 1));
+}
+
+} // namespace
+
+} // namespace lovage
--- /dev/null
+++ b/tests/unit/platform_codec_test.cpp
@@ -0,0 +1,168 @@
+#include "base64.h"
+#include "request_codec.h"
+
+#include "lovage/adapters/gateway/peer_report_udp.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace lovage {
+
+namespace {
+
+std::string value_of_field(const std::vector<header_field>& fields, const std::string& name) {
+    std::string values;
+    for (const auto& [field, value] : fields) {
+        values += field == name ? (values.empty() ? "" : "|") + value : "";
+    }
+    return values;
+}
+
+received_request request_with(std::vector<header_field> fields) {
+    received_request received;
+    received.method = "POST";
+    received.target = "/p/x?q=1";
+    received.fields = std::move(fields);
+    received.body = "body";
+    return received;
+}
+
+// Guards against keys and orders of callers that reach a target, and against fields that are lost.
+TEST_CASE("a target gets the caller's fields and lovagefront's own") {
+    const auto codec = platform::make_request_codec();
+    const auto request = codec.decode_request(request_with({{"Host", "h.example"},
+                                                            {"Request-Id", "id1"},
+                                                            {"Authorization", "Bearer secret"},
+                                                            {"Tenant", "forged"},
+                                                            {"Kv-Backup", "10.9.9.9:1"},
+                                                            {"Kv-From", "10.9.9.9:1/x"},
+                                                            {"Hold", "h"},
+                                                            {"Pin-Ms", "9"},
+                                                            {"expect-instance", "i-x"},
+                                                            {"Deadline-Ms", "25000"},
+                                                            {"Last-Event-Id", "12"},
+                                                            {"Token-Count", "1460,80"},
+                                                            {"X-Other", "kept"}}));
+    CHECK(request.key == "secret");
+    CHECK(request.host == "h.example");
+    CHECK(request.deadline == milliseconds(25'000));
+    CHECK(request.last_event_id == "12");
+    CHECK(request.prompt_tokens == 1'460);
+    attempt_order order;
+    order.target_id = "i-1";
+    order.address = "10.0.0.1:80";
+    order.organisation = "org";
+    order.time_left = milliseconds(900);
+    order.last_event_id = "14";
+    order.copy_to = {"i-2", "10.0.0.2:80", "", ""};
+    order.from_copy = true;
+    const auto fields = codec.encode_attempt(*request.forwarded, order);
+    CHECK(value_of_field(fields, "Authorization").empty());
+    CHECK(value_of_field(fields, "Tenant") == "org");
+    CHECK(value_of_field(fields, "Kv-Backup") == "10.0.0.2:80");
+    CHECK(value_of_field(fields, "Kv-From") == "10.0.0.1:80/id1");
+    CHECK(value_of_field(fields, "Expect-Instance") == "i-1");
+    CHECK(value_of_field(fields, "expect-instance").empty());
+    CHECK(value_of_field(fields, "Hold").empty());
+    CHECK(value_of_field(fields, "Pin-Ms").empty());
+    CHECK(value_of_field(fields, "Deadline-Ms") == "900");
+    CHECK(value_of_field(fields, "Last-Event-Id") == "14");
+    CHECK(value_of_field(fields, "X-Other") == "kept");
+    CHECK(value_of_field(fields, "Request-Id") == "id1");
+}
+
+struct answer_case {
+    error_kind kind;
+    bool is_not_run;
+    int status;
+};
+
+// Guards against a status that promises "not run" for a request that may have run.
+TEST_CASE("only answers that state not run use the promising statuses") {
+    const auto test = GENERATE(from_range(std::vector<answer_case>{
+        {error_kind::no_target, true, 503},
+        {error_kind::no_target, false, 502},
+        {error_kind::target_failed, false, 502},
+        {error_kind::deadline_exceeded, true, 503},
+        {error_kind::outcome_late, false, 504},
+        {error_kind::unauthenticated, true, 401},
+        {error_kind::not_found, true, 404},
+        {error_kind::not_ready, true, 503},
+    }));
+    CAPTURE(to_string(test.kind), test.is_not_run);
+    own_answer answer;
+    answer.kind = test.kind;
+    answer.is_not_run = test.is_not_run;
+    CHECK(platform::make_request_codec().encode_answer(answer).status == test.status);
+}
+
+// Guards against every status that promises "not run" being reachable without the statement.
+TEST_CASE("no kind of error promises by its status alone") {
+    for (std::size_t i = 0; i < k_error_kind_count; ++i) {
+        own_answer answer;
+        answer.kind = static_cast<error_kind>(i);
+        const int status = platform::make_request_codec().encode_answer(answer).status;
+        CAPTURE(to_string(answer.kind));
+        CHECK((status != 408 && status != 421 && status != 429 && status != 503));
+    }
+}
+
+struct status_case {
+    const char* body;
+    run_state state;
+    std::uint64_t events;
+};
+
+// Guards against a report that is misread: an engine that reads a prompt does not list its request.
+TEST_CASE("an engine's report tells about a request") {
+    const auto test = GENERATE(from_range(std::vector<status_case>{
+        {R"({"Running":1,"Waiting":0,"Runs":[["id1",900,17,5]]})", run_state::present, 17},
+        {R"({"Running":1,"Waiting":0,"Runs":[["id2",900,17,5]]})", run_state::unlisted, 0},
+        {R"({"Running":0,"Waiting":1,"Runs":[]})", run_state::unlisted, 0},
+        {R"({"Running":0,"Waiting":0,"Runs":[]})", run_state::absent, 0},
+        {R"({"Running":0})", run_state::not_told, 0},
+        {"no json", run_state::not_told, 0},
+    }));
+    CAPTURE(test.body);
+    const auto status = platform::make_request_codec().engine.decode_status(test.body, "id1");
+    CHECK(status.state == test.state);
+    CHECK(status.events == test.events);
+}
+
+// Guards against values that change on their way through the store.
+TEST_CASE("base64 keeps every byte") {
+    const auto bytes = GENERATE(from_range(
+        std::vector<std::string>{"", "a", "ab", "abc", "abcd", std::string("\0\xff\x80", 3), "node-1"}));
+    const auto text = platform::encode_base64(bytes);
+    CHECK(text.size() % 4 == 0);
+    CHECK(platform::decode_base64(text) == bytes);
+    CHECK_FALSE(platform::decode_base64(text + "="));
+    CHECK_FALSE(platform::decode_base64("a*=="));
+}
+
+// Guards against reports that lose fields, and against foreign datagrams that end the process.
+TEST_CASE("a peer report survives its way") {
+    peer_report report;
+    report.node = "n";
+    report.address = "10.0.0.1:7";
+    report.started_ms = 5;
+    report.sequence = 6;
+    report.is_leaving = true;
+    report.usage = {{"t1", 1, 2, 3}};
+    report.troubles = {{"s", "z", "t2", target_trouble::replaced, 4}};
+    report.peers = {"10.0.0.2:7"};
+    const auto bytes = encode_report(report);
+    const auto read = decode_report(bytes);
+    REQUIRE(read);
+    CHECK(encode_report(*read) == bytes);
+    CHECK(read->troubles.at(0).trouble == target_trouble::replaced);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK_FALSE(decode_report(bytes.substr(0, size)));
+    }
+}
+
+} // namespace
+
+} // namespace lovage
--- /dev/null
+++ b/tests/unit/proxied_request_test.cpp
@@ -0,0 +1,279 @@
+#include "support/fake_gateway.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace lovage {
+
+namespace {
+
+using testing::fake_gateway;
+
+struct outcome_case {
+    const char* name;
+    request_kind kind;
+    std::uint32_t max_attempts;
+    attempt_end end;
+    std::size_t attempts;
+    /// The answer of lovagefront's own, if there is one.
+    std::optional<error_kind> reply;
+    bool is_not_run;
+};
+
+// Guards against a request that may not be repeated and runs twice, and against "not run" for one that may
+// have run.
+TEST_CASE("a failed attempt is repeated only where that is allowed") {
+    const auto test = GENERATE(from_range(std::vector<outcome_case>{
+        {"publish lost", request_kind::non_idempotent, 1, attempt_end::broken, 1, error_kind::target_failed,
+         false},
+        {"publish unreachable", request_kind::non_idempotent, 1, attempt_end::unreachable, 2, std::nullopt,
+         true},
+        {"read lost", request_kind::idempotent, 2, attempt_end::broken, 2, std::nullopt, false},
+        {"read lost, one attempt", request_kind::idempotent, 1, attempt_end::broken, 1,
+         error_kind::target_failed, false},
+        {"stream lost", request_kind::streaming, 5, attempt_end::broken, 2, std::nullopt, false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(test.kind, test.max_attempts, 3);
+    const auto request = gateway.request();
+    REQUIRE(gateway.attempts.size() == 1);
+    gateway.attempts[0]->events.on_failure(test.end, "scripted");
+    CHECK(gateway.attempts.size() == test.attempts);
+    CHECK(gateway.caller.replies.empty() == !test.reply.has_value());
+    if (test.reply) {
+        CHECK(gateway.caller.replies.at(0).kind == *test.reply);
+        CHECK(gateway.caller.replies.at(0).is_not_run == test.is_not_run);
+    }
+    if (gateway.attempts.size() > 1) {
+        CHECK(gateway.attempts[1]->order.target_id != gateway.attempts[0]->order.target_id);
+    }
+}
+
+struct access_case {
+    const char* name;
+    bool has_config;
+    const char* key;
+    const char* target;
+    std::chrono::seconds age;
+    error_kind reply;
+};
+
+// Guards against a rejection by a process that does not know the configuration, and against keys that are
+// trusted after they may have been taken away.
+TEST_CASE("requests that may not start get their answer at once") {
+    const auto test = GENERATE(from_range(std::vector<access_case>{
+        {"no configuration", false, "key", "/r/x", std::chrono::seconds(0), error_kind::not_ready},
+        {"unknown key", true, "other", "/r/x", std::chrono::seconds(1), error_kind::unauthenticated},
+        {"unknown route", true, "key", "/q/x", std::chrono::seconds(1), error_kind::unknown_service},
+        {"old configuration", true, "key", "/r/x", std::chrono::seconds(6), error_kind::store_unavailable},
+        {"old configuration, unknown key", true, "other", "/r/x", std::chrono::seconds(6),
+         error_kind::store_unavailable},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    if (test.has_config) {
+        gateway.publish(request_kind::idempotent, 2, 3);
+    }
+    gateway.boot = test.age;
+    gateway.request(test.key, test.target);
+    CHECK(gateway.attempts.empty());
+    REQUIRE(gateway.caller.replies.size() == 1);
+    CHECK(gateway.caller.replies[0].kind == test.reply);
+    CHECK(gateway.caller.replies[0].is_not_run);
+}
+
+// Guards against events that are lost, repeated or torn when a stream goes on at another target.
+TEST_CASE("a broken stream goes on from its copy after the last whole event") {
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    auto& first = *gateway.attempts.at(0);
+    REQUIRE_FALSE(first.order.copy_to.target_id.empty());
+    first.events.on_head(fake_gateway::head(200));
+    first.events.on_body(fake_gateway::event(1) + fake_gateway::event(2) + "id: 3\nda");
+    gateway.advance(milliseconds(400));
+    first.events.on_failure(attempt_end::broken, "scripted");
+    REQUIRE(gateway.attempts.size() == 2);
+    auto& second = *gateway.attempts[1];
+    CHECK(second.order.from_copy);
+    CHECK(second.order.target_id == first.order.copy_to.target_id);
+    CHECK(second.order.last_event_id == "2");
+    CHECK_FALSE(second.order.copy_to.target_id.empty());
+    second.events.on_head(fake_gateway::head(200));
+    // The engine may begin with an event that the caller has.
+    second.events.on_body(fake_gateway::event(2) + fake_gateway::event(3));
+    second.events.on_end();
+    CHECK(gateway.caller.body == fake_gateway::event(1) + fake_gateway::event(2) + fake_gateway::event(3));
+    CHECK(gateway.caller.is_finished);
+}
+
+// Guards against a copy that is forgotten because an attempt did not run, and against asking for one that is
+// gone.
+TEST_CASE("a copy that is gone leads to a new reading of the prompt") {
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    auto& first = *gateway.attempts.at(0);
+    first.events.on_head(fake_gateway::head(200));
+    first.events.on_body(fake_gateway::event(1));
+    first.events.on_failure(attempt_end::broken, "scripted");
+    auto refusal = fake_gateway::head(503);
+    refusal.is_not_run = true;
+    gateway.attempts.at(1)->events.on_head(refusal);
+    REQUIRE(gateway.attempts.size() == 3);
+    CHECK_FALSE(gateway.attempts[2]->order.from_copy);
+    CHECK(gateway.attempts[2]->order.last_event_id == "1");
+}
+
+struct silence_case {
+    const char* name;
+    request_kind kind;
+    std::uint32_t max_attempts;
+    milliseconds silence;
+    std::size_t attempts;
+};
+
+// Guards against an answer that is ended because its target is silent although no other may run the request.
+TEST_CASE("silence ends an attempt only if another may follow") {
+    const auto test = GENERATE(from_range(std::vector<silence_case>{
+        {"publish", request_kind::non_idempotent, 1, milliseconds(19'000), 1},
+        {"read, one attempt", request_kind::idempotent, 1, milliseconds(19'000), 1},
+        {"read", request_kind::idempotent, 2, milliseconds(8'000), 2},
+        {"read, not yet", request_kind::idempotent, 2, milliseconds(5'000), 1},
+        {"stream, not yet", request_kind::streaming, 5, milliseconds(2'000), 1},
+        {"stream", request_kind::streaming, 5, milliseconds(2'600), 2},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(test.kind, test.max_attempts, 3);
+    const auto request = gateway.request();
+    gateway.advance(test.silence);
+    CHECK(gateway.attempts.size() == test.attempts);
+    CHECK(gateway.attempts[0]->is_cancelled == (test.attempts > 1));
+}
+
+// Guards against a stream whose silence is measured against the limit of its first event.
+TEST_CASE("a stream that falls silent goes on elsewhere within its longest gap") {
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    auto& first = *gateway.attempts.at(0);
+    gateway.advance(milliseconds(1'000));
+    first.events.on_head(fake_gateway::head(200));
+    for (int i = 1; i <= 30; ++i) {
+        first.events.on_body(fake_gateway::event(i));
+        gateway.advance(milliseconds(30));
+    }
+    CHECK(gateway.attempts.size() == 1);
+    gateway.advance(milliseconds(370));
+    REQUIRE(gateway.attempts.size() == 2);
+    CHECK(first.is_cancelled);
+    CHECK(gateway.attempts[1]->order.from_copy);
+}
+
+// Guards against work that goes on for a caller who has left, and against an answer after the route's time.
+TEST_CASE("the caller's leaving and the deadline stop the work") {
+    const bool leaves = GENERATE(true, false);
+    fake_gateway gateway;
+    gateway.publish(request_kind::non_idempotent, 1, 3);
+    const auto request = gateway.request();
+    if (leaves) {
+        request->caller_left();
+        CHECK(gateway.caller.replies.empty());
+    } else {
+        gateway.advance(milliseconds(20'001));
+        REQUIRE(gateway.caller.replies.size() == 1);
+        CHECK(gateway.caller.replies[0].kind == error_kind::outcome_late);
+        CHECK_FALSE(gateway.caller.replies[0].is_not_run);
+    }
+    CHECK(gateway.attempts.at(0)->is_cancelled);
+    CHECK(gateway.traffic.requests.empty());
+}
+
+struct bad_answer_case {
+    const char* name;
+    int status;
+    bool is_own;
+    bool is_marked;
+};
+
+// Guards against answers of other requests and against bytes that no target vouches for.
+TEST_CASE("an answer that is not the target's own to this request is not passed on") {
+    const auto test = GENERATE(from_range(std::vector<bad_answer_case>{
+        {"another request's", 200, false, true},
+        {"without a mark", 200, true, false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 3);
+    const auto request = gateway.request();
+    auto head = fake_gateway::head(test.status);
+    head.is_own = test.is_own;
+    head.is_marked = test.is_marked;
+    gateway.attempts.at(0)->events.on_head(head);
+    CHECK(gateway.caller.status == 0);
+    CHECK(gateway.attempts.size() == 2);
+}
+
+// Guards against a lost holder that leaves a long stream without a copy.
+TEST_CASE("a copy whose holder is lost is renewed at another target") {
+    fake_gateway gateway;
+    gateway.traffic.engine.make_copy_request = [](const std::string&, const std::string& holder) {
+        auto request = std::make_shared<forwarded_request>();
+        request->target = holder;
+        return request;
+    };
+    gateway.traffic.engine.decode_copy = [](const std::string& body) { return std::optional(body); };
+    gateway.traffic.engine.make_free_request = [](const std::string&) {
+        return std::make_shared<forwarded_request>();
+    };
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    auto& first = *gateway.attempts.at(0);
+    const auto holder = first.order.copy_to.target_id;
+    first.events.on_head(fake_gateway::head(200));
+    first.events.on_body(fake_gateway::event(1));
+    record_trouble(gateway.traffic, "service", "b", holder, target_trouble::unreachable);
+    gateway.advance(milliseconds(250));
+    first.events.on_body(fake_gateway::event(2));
+    REQUIRE(gateway.attempts.size() == 2);
+    auto& copying = *gateway.attempts[1];
+    CHECK(copying.order.address == first.order.address);
+    copying.events.on_head(fake_gateway::head(200));
+    copying.events.on_body("copy-1");
+    copying.events.on_end();
+    first.events.on_failure(attempt_end::broken, "scripted");
+    REQUIRE(gateway.attempts.size() == 3);
+    CHECK(gateway.attempts[2]->order.from_copy);
+    CHECK(gateway.attempts[2]->order.copy_from.name == "copy-1");
+    CHECK(gateway.attempts[2]->order.target_id != holder);
+}
+
+struct leave_case {
+    const char* name;
+    request_kind kind;
+    milliseconds since;
+    bool is_served;
+};
+
+// Guards against requests that a stopping process takes and then cuts.
+TEST_CASE("a stopping process takes only what ends in time") {
+    const auto test = GENERATE(from_range(std::vector<leave_case>{
+        {"stream at once", request_kind::streaming, milliseconds(100), true},
+        {"stream late", request_kind::streaming, milliseconds(3'000), false},
+        {"plain late", request_kind::idempotent, milliseconds(3'000), true},
+        {"plain at the end", request_kind::idempotent, milliseconds(7'000), false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(test.kind, 2, 3);
+    gateway.traffic.leaving_since = gateway.now - test.since;
+    const auto request = gateway.request();
+    CHECK(gateway.attempts.size() == (test.is_served ? 1 : 0));
+    CHECK(gateway.caller.replies.size() == (test.is_served ? 0 : 1));
+}
+
+} // namespace
+
+} // namespace lovage
