--- /dev/null
+++ b/src/traffic/proxied_answer.cpp
@@ -0,0 +1,186 @@
+#include "proxied_helpers.h"
+
+#include "lovage/traffic/engine_calls.h"
+#include "lovage/traffic/proxied_request.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+namespace {
+
+// Answers up to this size are held until they are complete, so that a broken one can be repeated elsewhere.
+constexpr std::size_t k_max_held_answer = 262'144;
+// Above this many bytes that the caller has not taken, reading from the target pauses.
+constexpr std::size_t k_max_backlog = 262'144;
+// Streams over which their time is averaged.
+constexpr int k_stream_time_streams = 8;
+
+} // namespace
+
+attempt_events proxied_request::events_of(std::uint32_t number) {
+    // Events of an attempt that was given up are dropped.
+    const auto guarded = [self = shared_from_this(), number](auto action) {
+        return [self, number, action](auto&&... arguments) {
+            if (!self->m_is_done && self->m_attempt && self->m_attempt->number == number) {
+                action(*self, std::forward<decltype(arguments)>(arguments)...);
+            }
+        };
+    };
+    attempt_events events;
+    events.on_head = guarded([](proxied_request& self, const answer_head& head) { self.take_head(head); });
+    events.on_body = guarded([](proxied_request& self, std::string_view bytes) { self.take_body(bytes); });
+    events.on_end = guarded([](proxied_request& self) { self.take_end(); });
+    events.on_failure = guarded([](proxied_request& self, attempt_end end, const std::string& detail) {
+        self.end_attempt(end, detail);
+    });
+    return events;
+}
+
+void proxied_request::take_head(const answer_head& head) {
+    auto& current = *m_attempt;
+    current.has_head = true;
+    current.head = head;
+    if (head.load) {
+        record_target_load(m_traffic.usage[current.target_id], head.load->running + head.load->waiting,
+                           m_traffic.timers.now());
+    }
+    const bool is_success = head.status >= 200 && head.status < 300;
+    if (head.is_other_target) {
+        end_attempt(attempt_end::other_target, "status " + std::to_string(head.status));
+    } else if (head.is_not_run) {
+        end_attempt(current.from_copy ? attempt_end::copy_gone : attempt_end::not_run,
+                    "status " + std::to_string(head.status));
+    } else if (!head.is_own) {
+        end_attempt(attempt_end::broken, "the answer belongs to another request");
+    } else if (is_success && !head.is_marked) {
+        end_attempt(attempt_end::broken, "a success without the target's mark");
+    }
+}
+
+void proxied_request::take_body(std::string_view bytes) {
+    auto& current = *m_attempt;
+    const bool is_event_stream = is_stream() && current.head.status == 200;
+    if (is_event_stream) {
+        std::string out;
+        split_events(current.events, bytes,
+                     [this, &out](const stream_event& event) { take_event(event, out); });
+        if (!out.empty()) {
+            start_stream();
+            m_caller.write(std::move(out));
+        }
+    } else if (m_is_passing) {
+        m_caller.write(std::string(bytes));
+    } else {
+        current.body.append(bytes);
+        if (current.body.size() > k_max_held_answer) {
+            m_is_passing = true;
+            m_is_started = true;
+            m_caller.start(current.head, std::nullopt);
+            m_caller.write(std::move(current.body));
+        }
+    }
+    if (!m_is_paused && m_caller.backlog() > k_max_backlog) {
+        m_is_paused = true;
+        current.handle.pause(true);
+    }
+}
+
+void proxied_request::take_event(const stream_event& event, std::string& out) {
+    auto& current = *m_attempt;
+    const auto now = m_traffic.timers.now();
+    const bool is_first = !std::exchange(current.has_event, true);
+    if (is_first) {
+        current.first_event = now;
+        // The time to the first event says nothing about the pace.
+        current.pace = {};
+        report_change(m_traffic);
+        auto& usage = m_traffic.usage[current.target_id];
+        usage.waiting_first -= usage.waiting_first > 0 ? 1 : 0;
+        record_target_success(usage);
+        if (m_is_started) {
+            m_traffic.sink.observe("gateway_resume_gap_seconds", to_seconds(now - m_last_delivery));
+        }
+    }
+    record_event(current.pace, now);
+    current.status.reset();
+    keep_copy();
+    const auto number = event_number(event.id);
+    const auto last = event_number(m_last_event_id);
+    if (number && last && *number <= *last) {
+        m_traffic.sink.count("gateway_events_dropped", "repeated");
+        return;
+    }
+    out.append(event.text);
+    if (!event.id.empty()) {
+        m_last_event_id = std::string(event.id);
+    }
+    if (m_last_delivery == time_point{}) {
+        m_first_event = now - m_request.received;
+    } else {
+        m_longest_gap = std::max(m_longest_gap, now - m_last_delivery);
+    }
+    m_last_delivery = now;
+    if (is_first) {
+        watch_silence();
+    }
+}
+
+void proxied_request::start_stream() {
+    if (!m_is_started) {
+        m_is_started = true;
+        m_caller.start(m_attempt->head, std::nullopt);
+        m_traffic.sink.observe("gateway_first_event_seconds",
+                               to_seconds(m_traffic.timers.now() - m_request.received));
+    }
+}
+
+void proxied_request::take_end() {
+    auto& current = *m_attempt;
+    if (!current.has_head) {
+        end_attempt(attempt_end::broken, "no answer");
+        return;
+    }
+    if (current.head.status >= 500) {
+        end_attempt(attempt_end::failed_answer, "status " + std::to_string(current.head.status));
+        return;
+    }
+    const bool is_event_stream = is_stream() && current.head.status == 200;
+    if (is_event_stream && !current.events.partial.empty()) {
+        end_attempt(attempt_end::broken, "the stream ended within an event");
+        return;
+    }
+    if (is_event_stream || m_is_passing) {
+        start_stream();
+        const auto taken = m_traffic.timers.now() - m_request.received;
+        m_traffic.stream_time += (taken - m_traffic.stream_time) / k_stream_time_streams;
+        record_target_success(m_traffic.usage[current.target_id]);
+        if (!current.copy.name.empty()) {
+            free_copy(m_traffic, current.copy.source_address, current.copy.name);
+        }
+        release_target(take_attempt());
+        m_caller.finish();
+        finish("served");
+        return;
+    }
+    const attempt done = take_attempt();
+    record_target_success(m_traffic.usage[done.target_id]);
+    release_target(done);
+    deliver_answer(done);
+    finish("served");
+}
+
+void proxied_request::deliver_answer(const attempt& done) {
+    m_caller.start(done.head, done.body.size());
+    m_caller.write(done.body);
+    m_caller.finish();
+}
+
+void proxied_request::caller_drained() {
+    if (m_is_paused && m_attempt && m_caller.backlog() <= k_max_backlog / 2) {
+        m_is_paused = false;
+        m_attempt->handle.pause(false);
+    }
+}
+
+} // namespace lovage
