--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -98,15 +98,7 @@
 milliseconds leave_retry_after(const gateway_traffic& traffic);
 
 /// Zones in which several targets of the service have been lost just now: the rest of the zone is suspect.
-/// `within` is how long ago.
-std::vector<std::string> troubled_zones(gateway_traffic& traffic, const std::string& service,
-                                        milliseconds within);
-
-/// A lost target that nobody has tried since may still be listed for this long: three heartbeats pass before
-/// its entry ends. Runs find out at once and go elsewhere; a copy that is never made shows only when it is
-/// needed.
-inline constexpr milliseconds k_trouble_for_runs{1'500};
-inline constexpr milliseconds k_trouble_for_copies{4'000};
+std::vector<std::string> troubled_zones(gateway_traffic& traffic, const std::string& service);
 
 /// Whether requests with a key may be served now.
 bool can_trust_keys(const gateway_traffic& traffic);
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Targets of a zone that must be lost in a short time before the whole zone is suspect.
-constexpr std::ptrdiff_t k_troubled_targets = 3;
+// Targets of a zone that must be lost within the time below before the whole zone is suspect.
+constexpr std::size_t k_troubled_targets = 3;
+constexpr milliseconds k_trouble_time{1'500};
 
 } // namespace
 
@@ -63,18 +64,15 @@
     return share;
 }
 
-std::vector<std::string> troubled_zones(gateway_traffic& traffic, const std::string& service,
-                                        milliseconds within) {
+std::vector<std::string> troubled_zones(gateway_traffic& traffic, const std::string& service) {
     const auto now = traffic.timers.now();
     std::vector<std::string> troubled;
     for (auto entry = traffic.zones.begin(); entry != traffic.zones.end();) {
         auto& failed = entry->second.failed;
         for (auto each = failed.begin(); each != failed.end();) {
-            each = now - each->second > k_trouble_for_copies ? failed.erase(each) : std::next(each);
+            each = now - each->second > k_trouble_time ? failed.erase(each) : std::next(each);
         }
-        const auto recent = std::count_if(failed.begin(), failed.end(),
-                                          [&](const auto& each) { return now - each.second <= within; });
-        if (entry->first.first == service && recent >= k_troubled_targets) {
+        if (entry->first.first == service && failed.size() >= k_troubled_targets) {
             troubled.push_back(entry->first.second);
         }
         entry = failed.empty() ? traffic.zones.erase(entry) : std::next(entry);
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -92,7 +92,7 @@
     want.zone = m_traffic.options.zone;
     want.excluded = m_excluded;
     want.has_prompt = m_request.prompt_tokens > 0;
-    want.troubled_zones = troubled_zones(m_traffic, m_service_name, k_trouble_for_runs);
+    want.troubled_zones = troubled_zones(m_traffic, m_service_name);
     want.now = m_traffic.timers.now();
     const target_record* record =
         from_copy ? find_ready_target(m_traffic, m_service_name, m_copy.target_id) : nullptr;
--- a/src/traffic/proxied_silence.cpp
+++ b/src/traffic/proxied_silence.cpp
@@ -43,7 +43,6 @@
     }
     want.excluded.push_back(next.target_id);
     want.avoided_zone = next.zone;
-    want.troubled_zones = troubled_zones(m_traffic, m_service_name, k_trouble_for_copies);
     if (const auto chosen = choose_copy(candidates, want, m_traffic.random)) {
         const auto& record = *candidates[*chosen].record;
         next.copy = {record.id, record.address, "", ""};
@@ -147,7 +146,7 @@
         want.zone = m_traffic.options.zone;
         want.excluded = {current.target_id, current.copy.target_id};
         want.avoided_zone = current.zone;
-        want.troubled_zones = troubled_zones(m_traffic, m_service_name, k_trouble_for_copies);
+        want.troubled_zones = troubled_zones(m_traffic, m_service_name);
         want.now = m_traffic.timers.now();
         const auto chosen = choose_copy(candidates, want, m_traffic.random);
         if (!chosen) {
