--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -252,7 +252,7 @@
     if (!m_is_head_request) {
         text += answer.body;
     }
-    queue(std::move(text));
+    queue(text);
     end_request();
 }
 
