End the requests of a test before its gateway

In the program the exchange drops its events when it ends or is cancelled. Change: the scripted gateway drops events and timers when it is destroyed.

--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -53,6 +53,17 @@
         traffic.sink.observe = [](const std::string&, double) {};
     }
 
+    fake_gateway(const fake_gateway&) = delete;
+    fake_gateway& operator=(const fake_gateway&) = delete;
+
+    /// Requests in progress are kept alive by their attempts and timers, so these end first.
+    ~fake_gateway() {
+        for (const auto& attempt : attempts) {
+            attempt->events = {};
+        }
+        m_timers.clear();
+    }
+
     /// Publishes a route of `kind` below "/r/" at "host" with the targets "t1" to "t<count>", in zones "a",
     /// "b" and "c" in turn.
     void publish(request_kind kind, std::uint32_t max_attempts, int target_count) {
