--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -74,7 +74,7 @@
 /// Takes a new view and forgets targets that are gone.
 void take_view(gateway_traffic& traffic, gateway_view_ptr view);
 
-/// The candidates for a service; those with another version than `version` are left out unless it is empty.
+/// The ready targets of a service with what this process and its peers have there.
 std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service);
 
 /// The record of a target that may still be used; null if it is gone or draining.
--- a/src/adapters/gateway/target_connection.h
+++ b/src/adapters/gateway/target_connection.h
@@ -17,7 +17,6 @@
     boost::beast::flat_buffer buffer;
     std::string address;
     time_point idle_since{};
-    bool is_kept = false;
 };
 
 /// Whether an idle connection is still open and has received nothing: bytes that arrive without a request
--- a/src/adapters/gateway/target_pool.cpp
+++ b/src/adapters/gateway/target_pool.cpp
@@ -58,7 +58,6 @@
 void target_pool::state::keep(std::unique_ptr<target_connection> connection) {
     auto& connections = idle[connection->address];
     connection->idle_since = monotonic_now();
-    connection->is_kept = true;
     connections.push_back(std::move(connection));
     if (connections.size() > options.max_idle_per_target) {
         connections.pop_front();
