Send a caller that comes back to the engine that keeps its prompt

Cause: after a loss of power of all gateways callers notice their silent connection after 18 s and come back with their last event and 2 to 7 s left. Change: a prompt is placed by rendezvous hashing of its last part: three engines of the gateway's zone and three elsewhere are preferred by a load of 2. A request that comes with a last event asks these six what they keep and goes to the one that keeps most of its prompt, if that is at least half. Placement moves to its own file. Ruled out: asking all engines (six times the probes), following the cache events of all engines at each gateway (36 calls a second and gateway, and lost with the gateway).

--- a/include/lovage/core/target_choice.h
+++ b/include/lovage/core/target_choice.h
@@ -44,6 +44,8 @@
     std::string avoided_zone;
     /// Zones where several targets have failed just now; others are preferred.
     std::vector<std::string> troubled_zones;
+    /// Targets that may keep the request's prompt; preferred unless they are clearly more loaded.
+    std::vector<std::string> preferred;
     /// The request reads a long prompt, which delays all others at the target.
     bool has_prompt = false;
     time_point now{};
--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovage/core/attempt_plan.h"
+#include "lovage/core/prompt_part.h"
 #include "lovage/core/silence_plan.h"
 #include "lovage/core/time.h"
 
@@ -115,6 +116,9 @@
     /// The name of the copy; nothing if the answer has none.
     std::function<std::optional<std::string>(const std::string& body)> decode_copy;
     std::function<request_ptr(const std::string& name)> make_free_request;
+    /// Which parts of prompts the engine keeps in memory.
+    request_ptr kept_request;
+    std::function<std::vector<prompt_part>(const std::string& body)> decode_kept;
 };
 
 /// The way to targets. Called on the traffic thread; does not block.
--- a/include/lovage/traffic/engine_calls.h
+++ b/include/lovage/traffic/engine_calls.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lovage {
 
@@ -20,6 +21,10 @@
 void copy_run(gateway_traffic& traffic, const std::string& address, const std::string& request_id,
               const memory_copy& holder, std::function<void(std::optional<std::string>)> done);
 
+/// Asks an engine which parts of prompts it keeps; `done` is called once, with nothing if it does not answer.
+void ask_kept(gateway_traffic& traffic, const std::string& address,
+              std::function<void(std::vector<prompt_part>)> done);
+
 /// Frees a copy that `copy_run` made.
 void free_copy(gateway_traffic& traffic, const std::string& address, const std::string& name);
 
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -28,8 +28,9 @@
     milliseconds deadline{0};
     /// Last event of an earlier answer that the caller has.
     std::string last_event_id;
-    /// Tokens of the prompt; 0 if the request has none.
+    /// Tokens of the prompt, and its parts in order; 0 and empty if the request has none.
     std::uint64_t prompt_tokens = 0;
+    std::vector<prompt_part> prompt;
     time_point received{};
 };
 
@@ -84,8 +85,21 @@
         stream_pace pace;
     };
 
+    // The search for an engine that still keeps the prompt of an earlier answer.
+    struct prompt_search {
+        std::size_t open_questions = 0;
+        std::string target_id;
+        std::uint64_t tokens = 0;
+    };
+
     void admit();
     bool may_start() const;
+    bool has_earlier_answer() const;
+    void look_for_prompt();
+    void take_kept(const std::string& target_id, const std::vector<prompt_part>& kept);
+    placement placement_among(const std::vector<target_candidate>& candidates);
+    const target_record* choose_target_among(const std::vector<target_candidate>& candidates,
+                                             const placement& want);
     void send(bool from_copy);
     attempt_events events_of(std::uint32_t number);
     silence_facts silence_of(const attempt& current) const;
@@ -133,6 +147,7 @@
     timer_cancel m_silence_timer;
     std::vector<std::string> m_excluded;
     memory_copy m_copy;
+    prompt_search m_search;
     std::optional<attempt> m_failed;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_runs = 0;
--- a/src/core/target_choice.cpp
+++ b/src/core/target_choice.cpp
@@ -29,6 +29,10 @@
 // Costs that differ by less are taken as equal.
 constexpr double k_same_cost = 0.25;
 
+// Extra load that is accepted to keep a prompt where it is looked for again; the choice among the preferred
+// targets levels the load of most requests.
+constexpr double k_preferred_gain = 2.0;
+
 double foreign_load(const target_usage& usage, time_point now) {
     const auto age = now - usage.reported_at;
     if (usage.reported_at == time_point{} || age >= k_report_life) {
@@ -91,6 +95,10 @@
     if (want.now < usage.avoid_until) {
         cost += k_avoided_cost;
     }
+    const auto& preferred = want.preferred;
+    if (std::find(preferred.begin(), preferred.end(), candidate.record->id) != preferred.end()) {
+        cost -= k_preferred_gain;
+    }
     return cost;
 }
 
--- a/src/traffic/engine_calls.cpp
+++ b/src/traffic/engine_calls.cpp
@@ -41,6 +41,16 @@
                 finish);
 }
 
+void ask_kept(gateway_traffic& traffic, const std::string& address,
+              std::function<void(std::vector<prompt_part>)> done) {
+    traffic.sink.count("gateway_engine_calls", "kept");
+    const auto finish = [decode = traffic.engine.decode_kept,
+                         done = std::move(done)](const std::optional<target_reply>& reply) {
+        done(reply && reply->status == 200 ? decode(reply->body) : std::vector<prompt_part>());
+    };
+    call_target(traffic, address, traffic.engine.kept_request, k_probe_time, finish);
+}
+
 void free_copy(gateway_traffic& traffic, const std::string& address, const std::string& name) {
     traffic.sink.count("gateway_engine_calls", "free");
     call_target(traffic, address, traffic.engine.make_free_request(name), k_free_time,
--- /dev/null
+++ b/src/traffic/proxied_placement.cpp
@@ -0,0 +1,98 @@
+#include "lovage/core/prompt_affinity.h"
+#include "lovage/traffic/engine_calls.h"
+#include "lovage/traffic/proxied_request.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+namespace {
+
+// Below this part of a prompt the search for it saves too little reading to move a request to a busier
+// engine.
+constexpr double k_least_kept_part = 0.5;
+
+} // namespace
+
+placement proxied_request::placement_among(const std::vector<target_candidate>& candidates) {
+    placement want;
+    want.zone = m_traffic.options.zone;
+    want.excluded = m_excluded;
+    want.has_prompt = m_request.prompt_tokens > 0;
+    want.preferred = preferred_targets(candidates, want.zone, m_request.prompt);
+    want.troubled_zones = troubled_zones(m_traffic, m_service_name);
+    want.now = m_traffic.timers.now();
+    return want;
+}
+
+const target_record* proxied_request::choose_target_among(const std::vector<target_candidate>& candidates,
+                                                          const placement& want) {
+    const auto keeper = std::find_if(candidates.begin(), candidates.end(), [this](const auto& candidate) {
+        return candidate.record->id == m_search.target_id;
+    });
+    const bool is_usable =
+        keeper != candidates.end() && keeper->usage.avoid_until <= want.now &&
+        std::find(m_excluded.begin(), m_excluded.end(), m_search.target_id) == m_excluded.end();
+    if (is_usable) {
+        return keeper->record;
+    }
+    const auto chosen = choose_run(candidates, want, m_traffic.random);
+    return chosen ? candidates[*chosen].record : nullptr;
+}
+
+void proxied_request::choose_copy_target(attempt& next, const std::vector<target_candidate>& candidates,
+                                         placement want) {
+    if (!is_stream() || !m_route->is_resumable || m_service == nullptr || !m_service->engine ||
+        !m_service->engine->sends_copies) {
+        return;
+    }
+    want.excluded.push_back(next.target_id);
+    want.avoided_zone = next.zone;
+    if (const auto chosen = choose_copy(candidates, want, m_traffic.random)) {
+        const auto& record = *candidates[*chosen].record;
+        next.copy = {record.id, record.address, "", ""};
+        ++m_traffic.usage[record.id].copies;
+    }
+}
+
+bool proxied_request::has_earlier_answer() const {
+    return is_stream() && !m_request.last_event_id.empty() && !m_request.prompt.empty() &&
+           m_traffic.engine.kept_request != nullptr;
+}
+
+void proxied_request::look_for_prompt() {
+    const auto candidates = candidates_of(m_traffic, m_service_name);
+    const auto preferred = preferred_targets(candidates, m_traffic.options.zone, m_request.prompt);
+    // Answers may come before the last question is asked.
+    m_search.open_questions = preferred.size() + 1;
+    for (const auto& id : preferred) {
+        const auto* record = find_ready_target(m_traffic, m_service_name, id);
+        ask_kept(m_traffic, record != nullptr ? record->address : "",
+                 [self = shared_from_this(), id](const std::vector<prompt_part>& kept) {
+                     self->take_kept(id, kept);
+                 });
+    }
+    take_kept("", {});
+}
+
+void proxied_request::take_kept(const std::string& target_id, const std::vector<prompt_part>& kept) {
+    --m_search.open_questions;
+    const auto tokens = count_kept_tokens(m_request.prompt, kept);
+    if (tokens > m_search.tokens) {
+        m_search.target_id = target_id;
+        m_search.tokens = tokens;
+    }
+    if (m_search.open_questions > 0 || m_is_done) {
+        return;
+    }
+    const bool is_found = static_cast<double>(m_search.tokens) >=
+                          k_least_kept_part * static_cast<double>(m_request.prompt_tokens);
+    if (!is_found) {
+        m_search.target_id.clear();
+    }
+    log_step(log_level::info, "prompt_looked_for", is_found ? m_search.target_id : "not_found",
+             std::to_string(m_search.tokens) + " tokens kept of " + std::to_string(m_request.prompt_tokens));
+    send(false);
+}
+
+} // namespace lovage
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -69,7 +69,11 @@
     m_deadline_timer = m_traffic.timers.after(std::max(time_left(), milliseconds(0)),
                                               [self = shared_from_this()] { self->time_out(); });
     record_first_send(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
-    send(false);
+    if (has_earlier_answer()) {
+        look_for_prompt();
+    } else {
+        send(false);
+    }
 }
 
 bool proxied_request::may_start() const {
@@ -88,22 +92,16 @@
 
 void proxied_request::send(bool from_copy) {
     const auto candidates = candidates_of(m_traffic, m_service_name);
-    placement want;
-    want.zone = m_traffic.options.zone;
-    want.excluded = m_excluded;
-    want.has_prompt = m_request.prompt_tokens > 0;
-    want.troubled_zones = troubled_zones(m_traffic, m_service_name);
-    want.now = m_traffic.timers.now();
+    const auto want = placement_among(candidates);
     const target_record* record =
         from_copy ? find_ready_target(m_traffic, m_service_name, m_copy.target_id) : nullptr;
     if (record == nullptr) {
         from_copy = false;
-        const auto chosen = choose_run(candidates, want, m_traffic.random);
-        if (!chosen) {
-            refuse(error_kind::no_target, "no target of " + m_service_name);
-            return;
-        }
-        record = candidates[*chosen].record;
+        record = choose_target_among(candidates, want);
+    }
+    if (record == nullptr) {
+        refuse(error_kind::no_target, "no target of " + m_service_name);
+        return;
     }
     attempt next;
     next.number = ++m_attempts;
--- a/src/traffic/proxied_silence.cpp
+++ b/src/traffic/proxied_silence.cpp
@@ -35,21 +35,6 @@
 
 } // namespace
 
-void proxied_request::choose_copy_target(attempt& next, const std::vector<target_candidate>& candidates,
-                                         placement want) {
-    if (!is_stream() || !m_route->is_resumable || m_service == nullptr || !m_service->engine ||
-        !m_service->engine->sends_copies) {
-        return;
-    }
-    want.excluded.push_back(next.target_id);
-    want.avoided_zone = next.zone;
-    if (const auto chosen = choose_copy(candidates, want, m_traffic.random)) {
-        const auto& record = *candidates[*chosen].record;
-        next.copy = {record.id, record.address, "", ""};
-        ++m_traffic.usage[record.id].copies;
-    }
-}
-
 silence_facts proxied_request::silence_of(const attempt& current) const {
     silence_facts facts;
     facts.has_event = current.has_event;
@@ -142,12 +127,9 @@
     memory_copy copy = current.copy;
     if (is_new_holder) {
         const auto candidates = candidates_of(m_traffic, m_service_name);
-        placement want;
-        want.zone = m_traffic.options.zone;
+        auto want = placement_among(candidates);
         want.excluded = {current.target_id, current.copy.target_id};
         want.avoided_zone = current.zone;
-        want.troubled_zones = troubled_zones(m_traffic, m_service_name);
-        want.now = m_traffic.timers.now();
         const auto chosen = choose_copy(candidates, want, m_traffic.random);
         if (!chosen) {
             return;
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -105,7 +105,8 @@
         take_view(traffic, view);
     }
 
-    std::shared_ptr<proxied_request> request(std::string key = "key", std::string target = "/r/x") {
+    std::shared_ptr<proxied_request> request(std::string key = "key", std::string target = "/r/x",
+                                             std::string last_event_id = "") {
         auto forwarded = std::make_shared<forwarded_request>();
         forwarded->method = "POST";
         forwarded->target = std::move(target);
@@ -115,6 +116,8 @@
         caller_side.host = "host";
         caller_side.key = std::move(key);
         caller_side.prompt_tokens = 8'000;
+        caller_side.prompt = {{"shared", 200}, {"own", 7'800}};
+        caller_side.last_event_id = std::move(last_event_id);
         caller_side.received = now;
         caller_port port;
         port.reply = [this](const own_answer& answer) { caller.replies.push_back(answer); };
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -1,12 +1,14 @@
 #include "lovage/core/attempt_plan.h"
 #include "lovage/core/event_splitter.h"
 #include "lovage/core/leave_plan.h"
+#include "lovage/core/prompt_affinity.h"
 #include "lovage/core/retry_window.h"
 #include "lovage/core/route_table.h"
 #include "lovage/core/silence_plan.h"
 #include "lovage/core/stream_silence.h"
 #include "lovage/core/target_choice.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -61,6 +63,54 @@
     CHECK((decision.route != nullptr ? decision.route->name : "") == test.route);
 }
 
+struct kept_case {
+    const char* name;
+    std::vector<prompt_part> kept;
+    std::uint64_t tokens;
+};
+
+// Guards against counting parts that an engine cannot use because it lacks one before them.
+TEST_CASE("an engine uses the parts of a prompt that it keeps from the first on") {
+    const auto test = GENERATE(from_range(std::vector<kept_case>{
+        {"nothing", {}, 0},
+        {"all", {{"c", 300}, {"a", 100}, {"b", 200}}, 600},
+        {"the first is missing", {{"b", 200}, {"c", 300}}, 0},
+        {"one between is missing", {{"a", 100}, {"c", 300}}, 100},
+        {"a part is kept in part", {{"a", 100}, {"b", 50}, {"c", 300}}, 150},
+    }));
+    CAPTURE(test.name);
+    CHECK(count_kept_tokens({{"a", 100}, {"b", 200}, {"c", 300}}, test.kept) == test.tokens);
+}
+
+// Guards against a process that looks for a prompt where no other process places it.
+TEST_CASE("the preferred targets of a prompt depend on its last part only") {
+    std::vector<target_record> records;
+    for (int i = 0; i < 30; ++i) {
+        target_record record;
+        record.id = "t" + std::to_string(i);
+        record.zone = i % 3 == 0 ? "a" : "b";
+        records.push_back(record);
+    }
+    std::vector<target_candidate> candidates;
+    for (const auto& record : records) {
+        candidates.push_back({&record, {}});
+    }
+    const auto first = preferred_targets(candidates, "a", {{"shared", 1}, {"own", 2}});
+    std::reverse(candidates.begin(), candidates.end());
+    candidates[3].usage.in_flight = 9;
+    CHECK(preferred_targets(candidates, "a", {{"other", 7}, {"own", 2}}) == first);
+    CHECK(first.size() == 6);
+    CHECK(preferred_targets(candidates, "a", {{"shared", 1}, {"own2", 2}}) != first);
+    CHECK(preferred_targets(candidates, "a", {}).empty());
+    placement want;
+    want.zone = "a";
+    want.preferred = first;
+    std::mt19937_64 random(1);
+    const auto chosen = choose_run(candidates, want, random);
+    REQUIRE(chosen);
+    CHECK(std::find(first.begin(), first.end(), candidates[*chosen].record->id) != first.end());
+}
+
 struct plan_case {
     const char* name;
     attempt_facts facts;
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -29,6 +29,17 @@
     return received;
 }
 
+// Guards against a kept prompt that is not found because its list is misread.
+TEST_CASE("the list of kept parts is read row by row") {
+    const auto codec = platform::make_request_codec();
+    const auto kept = codec.engine.decode_kept(
+        R"({"epoch":1,"Next":4,"held":[["","5c1e",800,"m"],["",7,1,"m"],["","91bd",60,"m"]]})");
+    REQUIRE(kept.size() == 2);
+    CHECK(kept[1].id == "91bd");
+    CHECK(kept[1].tokens == 60);
+    CHECK(codec.engine.decode_kept("no list").empty());
+}
+
 // Guards against keys and orders of callers that reach a target, and against fields that are lost.
 TEST_CASE("a target gets the caller's fields and lovagefront's own") {
     const auto codec = platform::make_request_codec();
@@ -44,12 +55,17 @@
                                                             {"Deadline-Ms", "25000"},
                                                             {"Last-Event-Id", "12"},
                                                             {"Token-Count", "1460,80"},
+                                                            {"Prompt-Prefix", "5c1e:800,91bd:660"},
                                                             {"X-Other", "kept"}}));
     CHECK(request.key == "secret");
     CHECK(request.host == "h.example");
     CHECK(request.deadline == milliseconds(25'000));
     CHECK(request.last_event_id == "12");
     CHECK(request.prompt_tokens == 1'460);
+    REQUIRE(request.prompt.size() == 2);
+    CHECK(request.prompt[1].id == "91bd");
+    CHECK(request.prompt[1].tokens == 660);
+    CHECK(value_of_field(request.forwarded->fields, "Prompt-Prefix") == "5c1e:800,91bd:660");
     attempt_order order;
     order.target_id = "i-1";
     order.address = "10.0.0.1:80";
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -250,6 +250,62 @@
     CHECK(gateway.attempts[2]->order.target_id != holder);
 }
 
+struct search_case {
+    const char* name;
+    /// Tokens of the request's own part that each engine keeps; none answers if negative.
+    int kept_tokens;
+    bool is_found;
+};
+
+// Guards against a prompt that is read again, at another engine, for a caller that comes back with its last
+// event after its gateway was lost.
+TEST_CASE("a caller that comes back is sent to the engine that keeps its prompt") {
+    const auto test = GENERATE(from_range(std::vector<search_case>{
+        {"kept", 7'800, true},
+        {"only the shared part", 0, false},
+        {"no answer", -1, false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.traffic.engine.kept_request = std::make_shared<forwarded_request>();
+    gateway.traffic.engine.decode_kept = [](const std::string& body) {
+        std::vector<prompt_part> kept{{"shared", 200}};
+        if (body != "0") {
+            kept.push_back({"own", std::stoull(body)});
+        }
+        return kept;
+    };
+    gateway.publish(request_kind::streaming, 5, 30);
+    const auto request = gateway.request("key", "/r/x", "7");
+    const auto questions = gateway.attempts;
+    REQUIRE(questions.size() == 6);
+    for (std::size_t i = 0; i < questions.size() && test.kept_tokens >= 0; ++i) {
+        questions[i]->events.on_head(fake_gateway::head(200));
+        questions[i]->events.on_body(i == 4 ? std::to_string(test.kept_tokens) : "0");
+        questions[i]->events.on_end();
+    }
+    gateway.advance(milliseconds(100));
+    REQUIRE(gateway.attempts.size() == 7);
+    const auto& sent = *gateway.attempts.back();
+    CHECK(sent.order.last_event_id == "7");
+    if (test.is_found) {
+        CHECK(sent.order.address == questions[4]->order.address);
+    }
+}
+
+// Guards against a search that goes on for a caller who has left, and one that outlives the deadline.
+TEST_CASE("a search for a prompt ends with its request") {
+    fake_gateway gateway;
+    gateway.traffic.engine.kept_request = std::make_shared<forwarded_request>();
+    gateway.traffic.engine.decode_kept = [](const std::string&) { return std::vector<prompt_part>(); };
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request("key", "/r/x", "7");
+    const auto questions = gateway.attempts.size();
+    request->caller_left();
+    gateway.advance(milliseconds(500));
+    CHECK(gateway.attempts.size() == questions);
+}
+
 struct leave_case {
     const char* name;
     request_kind kind;
