Choose the preferred engines of a prompt without the gateway's zone

Cause: a caller whose gateways are gone is connected to a gateway of another zone, which preferred other engines and did not find the prompt. Change: two engines of each zone are preferred, whatever the zone of the gateway; the cost of another zone still decides among them.

--- a/include/lovage/core/prompt_affinity.h
+++ b/include/lovage/core/prompt_affinity.h
@@ -13,10 +13,10 @@
 /// only if it keeps all parts before it.
 std::uint64_t count_kept_tokens(const std::vector<prompt_part>& prompt, const std::vector<prompt_part>& kept);
 
-/// Ids of the targets that a prompt goes to first: some in `zone` and some elsewhere. They depend only on the
-/// prompt's last part, which belongs to one request or session, so a process that knows nothing of the
-/// request's earlier attempts looks for its memory there. Empty for a request without a prompt.
+/// Ids of the targets that a prompt goes to first, some in each zone. They depend only on the prompt's last
+/// part, which belongs to one request or session, so that any process finds the memory of the request's
+/// earlier attempts. Empty for a request without a prompt.
 std::vector<std::string> preferred_targets(const std::vector<target_candidate>& candidates,
-                                           const std::string& zone, const std::vector<prompt_part>& prompt);
+                                           const std::vector<prompt_part>& prompt);
 
 } // namespace lovage
--- a/src/core/prompt_affinity.cpp
+++ b/src/core/prompt_affinity.cpp
@@ -4,14 +4,14 @@
 #include "lovage/core/rendezvous.h"
 
 #include <algorithm>
+#include <map>
 
 namespace lovage {
 
 namespace {
 
-// Of three targets the least loaded one is nearly as free as the least loaded of all.
-constexpr std::size_t k_preferred_in_zone = 3;
-constexpr std::size_t k_preferred_elsewhere = 3;
+// Of two targets in each zone the least loaded one is nearly as free as the least loaded of all.
+constexpr std::size_t k_preferred_in_zone = 2;
 
 } // namespace
 
@@ -33,22 +33,20 @@
 }
 
 std::vector<std::string> preferred_targets(const std::vector<target_candidate>& candidates,
-                                           const std::string& zone, const std::vector<prompt_part>& prompt) {
+                                           const std::vector<prompt_part>& prompt) {
     if (prompt.empty()) {
         return {};
     }
     const auto key = hash_bytes(prompt.back().id);
-    std::vector<std::string> near;
-    std::vector<std::string> far;
+    std::map<std::string, std::vector<std::string>> by_zone;
     for (const auto& candidate : candidates) {
-        (candidate.record->zone == zone ? near : far).push_back(candidate.record->id);
+        by_zone[candidate.record->zone].push_back(candidate.record->id);
     }
     std::vector<std::string> preferred;
-    for (const auto index : rendezvous_top(near, key, k_preferred_in_zone)) {
-        preferred.push_back(near[index]);
-    }
-    for (const auto index : rendezvous_top(far, key, k_preferred_elsewhere)) {
-        preferred.push_back(far[index]);
+    for (const auto& [zone, ids] : by_zone) {
+        for (const auto index : rendezvous_top(ids, key, k_preferred_in_zone)) {
+            preferred.push_back(ids[index]);
+        }
     }
     return preferred;
 }
--- a/src/traffic/proxied_placement.cpp
+++ b/src/traffic/proxied_placement.cpp
@@ -19,7 +19,7 @@
     want.zone = m_traffic.options.zone;
     want.excluded = m_excluded;
     want.has_prompt = m_request.prompt_tokens > 0;
-    want.preferred = preferred_targets(candidates, want.zone, m_request.prompt);
+    want.preferred = preferred_targets(candidates, m_request.prompt);
     want.troubled_zones = troubled_zones(m_traffic, m_service_name);
     want.now = m_traffic.timers.now();
     return want;
@@ -62,7 +62,7 @@
 
 void proxied_request::look_for_prompt() {
     const auto candidates = candidates_of(m_traffic, m_service_name);
-    const auto preferred = preferred_targets(candidates, m_traffic.options.zone, m_request.prompt);
+    const auto preferred = preferred_targets(candidates, m_request.prompt);
     // Answers may come before the last question is asked.
     m_search.open_questions = preferred.size() + 1;
     for (const auto& id : preferred) {
