Tell engines the rank of a request

Change: the organisation's rank, else the route's, goes to the engine; a generation that goes on is one step more urgent.

--- a/include/lovage/core/route_table.h
+++ b/include/lovage/core/route_table.h
@@ -39,7 +39,8 @@
     milliseconds objective{0};
     /// Longest pause between events for which a stream is on time; 0 for none.
     milliseconds longest_gap{0};
-    std::int64_t priority = 0;
+    /// Rank of its requests; 0 is the most urgent.
+    std::int64_t rank = 0;
     std::vector<service_share> services;
     /// Most targets that may run one request.
     std::uint32_t max_attempts = 1;
@@ -82,6 +83,8 @@
     /// Whether requests need a key.
     bool has_organisations = false;
     std::unordered_map<std::string, std::string> organisation_by_key;
+    /// Ranks of the organisations that have one; it goes before the route's.
+    std::unordered_map<std::string, std::int64_t> rank_by_organisation;
     caller_limits limits;
     /// Index of the route by host and prefix; built by `index_routes`.
     std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>> by_host;
@@ -103,6 +106,8 @@
     access verdict = access::unknown_route;
     const lovage::route* route = nullptr;
     std::string organisation;
+    /// Rank of the request, of the organisation if it has one, else of the route.
+    std::int64_t rank = 0;
 };
 access_decision decide_access(const route_table& table, std::string_view host, std::string_view target,
                               std::string_view key);
--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -58,6 +58,8 @@
     /// The target goes on from the copy that it holds; a named copy is named with its source.
     bool from_copy = false;
     memory_copy copy_from;
+    /// Rank of the request among those that wait for an engine, 0 first; nothing if it has no prompt.
+    std::optional<std::int64_t> rank;
     /// Whether a connection that has been idle may be used; its loss leaves open whether the request ran.
     bool may_reuse_connection = true;
 };
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -141,6 +141,7 @@
     const service_definition* m_service = nullptr;
     std::string m_service_name;
     std::string m_organisation;
+    std::int64_t m_rank = 0;
     time_point m_ends{};
     std::optional<attempt> m_attempt;
     timer_cancel m_deadline_timer;
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -55,6 +55,11 @@
             return decision;
         }
     }
+    decision.rank = decision.route->rank;
+    const auto own_rank = table.rank_by_organisation.find(decision.organisation);
+    if (own_rank != table.rank_by_organisation.end()) {
+        decision.rank = own_rank->second;
+    }
     decision.verdict = access::allowed;
     return decision;
 }
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -57,6 +57,7 @@
         return;
     }
     m_organisation = decision.organisation;
+    m_rank = decision.rank;
     m_service_name =
         choose_service(*m_route, std::uniform_real_distribution<double>(0.0, 1.0)(m_traffic.random));
     const auto service = m_table->services.find(m_service_name);
@@ -127,6 +128,9 @@
     if (from_copy) {
         order.copy_from = m_copy;
     }
+    if (m_request.prompt_tokens > 0) {
+        order.rank = m_rank;
+    }
     order.may_reuse_connection = m_route->is_repeatable();
     m_attempt = std::move(next);
     auto handle = m_traffic.targets.open(m_request.forwarded, std::move(order), events_of(m_attempts));
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -63,6 +63,21 @@
     CHECK((decision.route != nullptr ? decision.route->name : "") == test.route);
 }
 
+struct rank_case {
+    const char* key;
+    std::int64_t rank;
+};
+
+// Guards against an organisation's requests that wait behind less urgent ones of its route.
+TEST_CASE("the organisation's rank goes before the route's") {
+    const auto test = GENERATE(from_range(std::vector<rank_case>{{"k", 3}, {"urgent", 0}}));
+    auto table = make_table();
+    table.routes[0].rank = 3;
+    table.organisation_by_key["urgent"] = "urgent org";
+    table.rank_by_organisation["urgent org"] = 0;
+    CHECK(decide_access(table, "host.example", "/a/x", test.key).rank == test.rank);
+}
+
 struct kept_case {
     const char* name;
     std::vector<prompt_part> kept;
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -29,6 +29,34 @@
     return received;
 }
 
+struct priority_case {
+    std::optional<std::int64_t> rank;
+    const char* last_event_id;
+    const char* priority;
+};
+
+// Guards against generations that go on behind new prompts, or before requests of a more urgent rank.
+TEST_CASE("an engine is told the rank of a request and whether it goes on") {
+    const auto test = GENERATE(from_range(std::vector<priority_case>{
+        {std::nullopt, "", ""},
+        {0, "", "2"},
+        {0, "7", "1"},
+        {1, "", "4"},
+        {1, "7", "3"},
+        {2, "7", "5"},
+        {9, "", "9"},
+        {9, "7", "8"},
+    }));
+    CAPTURE(test.rank.value_or(-1), test.last_event_id);
+    const auto codec = platform::make_request_codec();
+    attempt_order order;
+    order.target_id = "i-1";
+    order.rank = test.rank;
+    order.last_event_id = test.last_event_id;
+    const auto fields = codec.encode_attempt({}, order);
+    CHECK(value_of_field(fields, "Request-Priority") == test.priority);
+}
+
 // Guards against a kept prompt that is not found because its list is misread.
 TEST_CASE("the list of kept parts is read row by row") {
     const auto codec = platform::make_request_codec();
