--- a/include/lovage/control/gateway_documents.h
+++ b/include/lovage/control/gateway_documents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovage/core/move_record.h"
 #include "lovage/core/result.h"
 #include "lovage/core/rollout_order.h"
 #include "lovage/core/route_table.h"
@@ -13,15 +14,14 @@
 
 namespace lovage {
 
-/// A value below the operators' prefix that concerns no gateway.
+/// A value that concerns no gateway.
 struct ignored_document {};
-using operator_document = std::variant<ignored_document, route_table, rollout_order>;
+using operator_document = std::variant<ignored_document, route_table, rollout_order, move_record>;
 
 /// Where the store keeps what a gateway follows, and how it is written there.
 struct gateway_documents {
-    /// The prefixes that are read; a watch follows all of them at once.
-    std::vector<std::string> prefixes;
-    std::string watched_prefix;
+    /// The prefix below which all that a gateway follows lies.
+    std::string prefix;
     std::function<result<operator_document>(const std::string& key, const store_value&)> decode_operator;
     /// Fails with `protocol_error` for an entry that names no target to use.
     std::function<result<target_record>(const std::string& key, const store_value&)> decode_target;
@@ -29,6 +29,9 @@
     std::function<std::string(const std::string& key)> target_id;
     /// The service of a rollout order under `key`; empty for other keys.
     std::function<std::string(const std::string& key)> rollout_service;
+    /// The key of a service's record, and what is written with a record: itself and the operators' status.
+    std::function<std::string(const std::string& service)> move_key;
+    std::function<std::vector<store_put>(const move_record&)> encode_move;
 };
 
 } // namespace lovage
--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovage/control/gateway_documents.h"
+#include "lovage/control/gateway_moves.h"
 #include "lovage/control/gateway_view.h"
 #include "lovage/core/log_level.h"
 #include "lovage/core/time.h"
@@ -51,7 +52,7 @@
     gateway_documents documents;
     route_table_ptr table;
     std::map<std::string, followed_target> targets;
-    std::map<std::string, rollout_order> rollouts;
+    gateway_moves moves;
     store_health health;
     bool has_targets = false;
     bool is_targets_changed = false;
@@ -71,7 +72,10 @@
 /// Drops targets whose entries did not come back in time; returns when to call it next.
 time_point expire_targets(gateway_state& state, time_point now);
 
+/// Plans the moves of services; returns when to call it next, and adds the writes that are due to `writes`.
+time_point plan_moves(gateway_state& state, time_point now, wall_time wall, std::vector<move_write>& writes);
+
 /// The view of the present state; the same as before if nothing changed.
-gateway_view_ptr make_gateway_view(gateway_state& state);
+gateway_view_ptr make_gateway_view(gateway_state& state, time_point now, wall_time wall);
 
 } // namespace lovage
--- a/include/lovage/control/gateway_view.h
+++ b/include/lovage/control/gateway_view.h
@@ -3,6 +3,7 @@
 #include "lovage/core/boot_time.h"
 #include "lovage/core/route_table.h"
 #include "lovage/core/target_record.h"
+#include "lovage/core/version_split.h"
 
 #include <cstdint>
 #include <map>
@@ -21,6 +22,8 @@
     route_table_ptr table;
     /// Targets that may be used, by service; null until the first list.
     std::shared_ptr<const std::map<std::string, target_list>> targets;
+    /// How requests are divided between versions, for services that are moved.
+    std::map<std::string, version_split> splits;
     /// Up to this time the store is known to have held no newer configuration.
     boot_time table_confirmed{0};
 };
--- a/include/lovage/core/peer_report.h
+++ b/include/lovage/core/peer_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovage/core/messages.h"
 #include "lovage/core/target_choice.h"
 #include "lovage/core/time.h"
 
@@ -40,6 +41,9 @@
     bool is_leaving = false;
     std::vector<peer_usage> usage;
     std::vector<peer_trouble> troubles;
+    /// What the sender has seen of versions since its start, and the moves that it knows to be vetoed.
+    std::vector<route_evidence> evidence;
+    std::vector<std::string> vetoes;
     /// Addresses of other processes that the sender hears.
     std::vector<std::string> peers;
 };
--- a/include/lovage/ports/store_port.h
+++ b/include/lovage/ports/store_port.h
@@ -41,6 +41,12 @@
     std::uint64_t revision = 0;
 };
 
+/// A value to write.
+struct store_put {
+    std::string key;
+    std::string value;
+};
+
 /// The platform's key-value service. Every function blocks for at most the adapter's timeout and may be
 /// called from any thread.
 ///
@@ -59,6 +65,11 @@
     std::function<result<std::uint64_t>(const std::string& key, const std::string& value,
                                         std::uint64_t expected, lease_id lease)>
         compare_and_swap;
+    /// Writes all values if the revision of `key` is `expected` (0: absent), or none; returns the new
+    /// revision.
+    std::function<result<std::uint64_t>(const std::string& key, std::uint64_t expected,
+                                        const std::vector<store_put>& puts)>
+        write_together;
     std::function<result<void>(const std::string& key, std::uint64_t expected)> remove;
     std::function<result<lease_id>(milliseconds ttl)> grant_lease;
     std::function<result<void>(lease_id)> renew_lease;
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -8,6 +8,7 @@
 #include "lovage/ports/target_port.h"
 #include "lovage/ports/timer_port.h"
 #include "lovage/traffic/peer_exchange.h"
+#include "lovage/traffic/version_evidence.h"
 
 #include <cstdint>
 #include <functional>
@@ -63,6 +64,7 @@
     /// Recent failures by service and zone.
     std::map<std::pair<std::string, std::string>, zone_trouble> zones;
     peer_exchange peers;
+    version_observer versions;
     /// When the process was asked to stop.
     std::optional<time_point> leaving_since;
     /// Running mean of the time that a whole stream takes; starts with a cautious guess.
@@ -74,8 +76,10 @@
 /// Takes a new view and forgets targets that are gone.
 void take_view(gateway_traffic& traffic, gateway_view_ptr view);
 
-/// The ready targets of a service with what this process and its peers have there.
-std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service);
+/// The ready targets of one side of a service with what this process and its peers have there; those of the
+/// other side if its own are gone and the other may take requests.
+std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service,
+                                            version_side side);
 
 /// The record of a target that may still be used; null if it is gone or draining.
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
--- a/include/lovage/traffic/peer_exchange.h
+++ b/include/lovage/traffic/peer_exchange.h
@@ -52,6 +52,9 @@
 /// Usage of a target by the processes that are heard.
 peer_usage foreign_usage(const gateway_traffic& traffic, const std::string& target_id);
 
+/// The last reports of the processes that are heard.
+std::vector<const peer_report*> live_reports(const gateway_traffic& traffic);
+
 /// Processes that are heard, this one not counted; the second leaves out those that stop.
 std::size_t live_peers(const gateway_traffic& traffic);
 std::size_t serving_peers(const gateway_traffic& traffic);
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -63,15 +63,20 @@
     // One attempt at a target.
     struct attempt {
         std::uint32_t number = 0;
+        /// Events that it has made.
+        std::uint32_t event_count = 0;
         std::string target_id;
         std::string zone;
         std::string address;
+        std::string version;
         memory_copy copy;
         bool from_copy = false;
         time_point started{};
         attempt_handle handle;
         bool has_head = false;
         bool has_event = false;
+        /// It has been counted as slow.
+        bool is_overdue = false;
         time_point first_event{};
         /// The target is being asked about the request, and what it has said during this silence.
         bool is_asking = false;
@@ -113,6 +118,9 @@
     void take_body(std::string_view bytes);
     void take_event(const stream_event& event, std::string& out);
     void take_end();
+    void watch_begin();
+    void observe_event();
+    observed_answer observed(const attempt& current) const;
     void end_attempt(attempt_end end, const std::string& detail);
     attempt take_attempt();
     void release_target(const attempt& ended);
@@ -142,10 +150,12 @@
     std::string m_service_name;
     std::string m_organisation;
     std::int64_t m_rank = 0;
+    version_side m_side = version_side::usual;
     time_point m_ends{};
     std::optional<attempt> m_attempt;
     timer_cancel m_deadline_timer;
     timer_cancel m_silence_timer;
+    timer_cancel m_begin_timer;
     std::vector<std::string> m_excluded;
     memory_copy m_copy;
     prompt_search m_search;
--- a/src/adapters/gateway/peer_report_udp.cpp
+++ b/src/adapters/gateway/peer_report_udp.cpp
@@ -29,6 +29,17 @@
                         static_cast<unsigned>(trouble.trouble), trouble.number});
 }
 
+json to_json(const route_evidence& evidence) {
+    return json::array({evidence.model, evidence.version, evidence.route, evidence.requests,
+                        evidence.failures, evidence.slow_first_tokens, evidence.slow_gaps});
+}
+
+route_evidence evidence_of(const json& row) {
+    return {row.at(0).get<std::string>(),   row.at(1).get<std::string>(),   row.at(2).get<std::string>(),
+            row.at(3).get<std::uint64_t>(), row.at(4).get<std::uint64_t>(), row.at(5).get<std::uint64_t>(),
+            row.at(6).get<std::uint64_t>()};
+}
+
 peer_usage usage_of(const json& row) {
     return {row.at(0).get<std::string>(), row.at(1).get<std::uint32_t>(), row.at(2).get<std::uint32_t>(),
             row.at(3).get<std::uint32_t>()};
@@ -50,13 +61,17 @@
 std::string encode_report(const peer_report& report) {
     json document{{"n", report.node},    {"b", report.started_ms}, {"s", report.sequence},
                   {"a", report.address}, {"u", json::array()},     {"t", json::array()},
-                  {"p", report.peers},   {"l", report.is_leaving}};
+                  {"p", report.peers},   {"l", report.is_leaving}, {"e", json::array()},
+                  {"v", report.vetoes}};
     for (const auto& usage : report.usage) {
         document["u"].push_back(to_json(usage));
     }
     for (const auto& trouble : report.troubles) {
         document["t"].push_back(to_json(trouble));
     }
+    for (const auto& evidence : report.evidence) {
+        document["e"].push_back(to_json(evidence));
+    }
     const auto bytes = json::to_cbor(document);
     return {bytes.begin(), bytes.end()};
 }
@@ -73,12 +88,16 @@
         report.peers = document.at("p").get<std::vector<std::string>>();
         const auto& usage = document.at("u");
         const auto& troubles = document.at("t");
+        const auto& evidence = document.at("e");
+        report.vetoes = document.at("v").get<std::vector<std::string>>();
         if (usage.size() > k_max_entries || troubles.size() > k_max_entries ||
+            evidence.size() > k_max_entries || report.vetoes.size() > k_max_entries ||
             report.peers.size() > k_max_entries) {
             return std::nullopt;
         }
         std::transform(usage.begin(), usage.end(), std::back_inserter(report.usage), usage_of);
         std::transform(troubles.begin(), troubles.end(), std::back_inserter(report.troubles), trouble_of);
+        std::transform(evidence.begin(), evidence.end(), std::back_inserter(report.evidence), evidence_of);
         return report;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <thread>
+#include <variant>
 
 namespace lovage {
 
@@ -25,19 +26,28 @@
 constexpr milliseconds k_first_pause{100};
 constexpr milliseconds k_longest_pause{500};
 
+// Longest wait of the writing thread between two looks at whether the process stops.
+constexpr milliseconds k_idle_wait{60'000};
+
 } // namespace
 
+using control_input = std::variant<followed_event, move_evidence, move_written>;
+
 struct gateway_control::state {
     gateway_control_ports ports;
     gateway_state beliefs;
-    event_queue<followed_event> events{k_queue_capacity};
+    event_queue<control_input> events{k_queue_capacity};
+    event_queue<move_write> writes{k_queue_capacity};
     std::mutex mutex;
     std::condition_variable stopping;
     bool is_stopping = false;
     std::thread control;
     std::thread follower;
+    std::thread writer;
 
     void run();
+    void take(control_input input, time_point now);
+    void write_moves();
     void follow_store();
     followed_event watch(std::uint64_t revision, boot_time confirmed) const;
     followed_event read_whole() const;
@@ -54,22 +64,20 @@
     followed_event event;
     event.is_whole = true;
     event.confirmed = boot_now();
-    for (const auto& prefix : ports.documents.prefixes) {
-        std::string after;
-        bool has_more = true;
-        while (has_more) {
-            auto page = ports.store.read_page(prefix, after);
-            if (!page) {
-                event.failure = page.error();
-                return event;
-            }
-            // A watch from the first page's revision shows what changed while later pages were read.
-            event.revision = event.revision == 0 ? page->revision : event.revision;
-            has_more = page->has_more && !page->items.empty();
-            for (auto& [key, value] : page->items) {
-                after = key;
-                event.changes.push_back({std::move(key), std::move(value)});
-            }
+    std::string after;
+    bool has_more = true;
+    while (has_more) {
+        auto page = ports.store.read_page(ports.documents.prefix, after);
+        if (!page) {
+            event.failure = page.error();
+            return event;
+        }
+        // A watch from the first page's revision shows what changed while later pages were read.
+        event.revision = event.revision == 0 ? page->revision : event.revision;
+        has_more = page->has_more && !page->items.empty();
+        for (auto& [key, value] : page->items) {
+            after = key;
+            event.changes.push_back({std::move(key), std::move(value)});
         }
     }
     return event;
@@ -81,7 +89,7 @@
     const auto age = std::chrono::duration_cast<milliseconds>(asked - confirmed);
     const auto wait = std::clamp(k_longest_wait - age, k_shortest_wait, k_longest_wait);
     event.confirmed = asked;
-    auto changes = ports.store.watch_prefix(ports.documents.watched_prefix, revision, wait);
+    auto changes = ports.store.watch_prefix(ports.documents.prefix, revision, wait);
     if (!changes) {
         event.failure = changes.error();
         return event;
@@ -123,17 +131,53 @@
     }
 }
 
+void gateway_control::state::take(control_input input, time_point now) {
+    if (auto* followed = std::get_if<followed_event>(&input)) {
+        follow(beliefs, std::move(*followed), now);
+    } else if (const auto* evidence = std::get_if<move_evidence>(&input)) {
+        take_evidence(beliefs.moves, *evidence);
+    } else if (const auto* written = std::get_if<move_written>(&input)) {
+        take_written(beliefs.moves, *written, now);
+    }
+}
+
+void gateway_control::state::write_moves() {
+    while (!writes.is_closed()) {
+        auto write = writes.pop_until(monotonic_now() + k_idle_wait);
+        if (!write) {
+            continue;
+        }
+        auto revision = ports.writes.write_together(ports.documents.move_key(write->service), write->expected,
+                                                    ports.documents.encode_move(write->record));
+        ports.log({log_level::info,
+                   "move_written",
+                   {{"move", write->record.id},
+                    {"phase", std::string(name_of(k_move_phase_names, write->record.phase))},
+                    {"expected", std::to_string(write->expected)},
+                    {"outcome", revision ? "ok" : std::string(to_string(revision.error().kind))}}});
+        // A full queue only delays the next write.
+        events.push(move_written{write->service, std::move(revision)});
+    }
+}
+
 void gateway_control::state::run() {
     time_point next = monotonic_now();
+    std::vector<move_write> due;
     while (!events.is_closed()) {
-        auto event = events.pop_until(next);
+        auto input = events.pop_until(next);
         const auto now = monotonic_now();
-        if (event) {
-            follow(beliefs, std::move(*event), now);
+        const auto wall = wall_now();
+        if (input) {
+            take(std::move(*input), now);
         }
         next = expire_targets(beliefs, now);
+        next = std::min(next, plan_moves(beliefs, now, wall, due));
+        for (auto& write : due) {
+            writes.push(std::move(write));
+        }
+        due.clear();
         const auto before = beliefs.view;
-        auto view = make_gateway_view(beliefs);
+        auto view = make_gateway_view(beliefs, now, wall);
         for (const auto& line : beliefs.logs) {
             ports.log(line);
         }
@@ -151,11 +195,17 @@
     auto& own = *control->m_state;
     own.ports = std::move(ports);
     own.beliefs.documents = own.ports.documents;
+    own.beliefs.moves.limits = own.ports.moves;
     own.control = std::thread([&own] { own.run(); });
     own.follower = std::thread([&own] { own.follow_store(); });
+    own.writer = std::thread([&own] { own.write_moves(); });
     return control;
 }
 
+bool gateway_control::post(move_evidence evidence) {
+    return m_state->events.push(std::move(evidence), k_queue_capacity / 2);
+}
+
 gateway_control::~gateway_control() {
     {
         const std::lock_guard lock(m_state->mutex);
@@ -163,7 +213,10 @@
     }
     m_state->stopping.notify_all();
     m_state->ports.store.stop();
+    m_state->ports.writes.stop();
     m_state->follower.join();
+    m_state->writes.close();
+    m_state->writer.join();
     m_state->events.close();
     m_state->control.join();
 }
--- /dev/null
+++ b/src/control/gateway_moves.cpp
@@ -0,0 +1,214 @@
+#include "lovage/control/gateway_moves.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+namespace {
+
+// Time that a process leaves to the one whose turn is before its own; a write takes some tens of
+// milliseconds.
+constexpr milliseconds k_turn{400};
+// Pause after a write whose outcome is not known, and after one that found another record.
+constexpr milliseconds k_write_pause{500};
+// Longest time between two looks at open moves.
+constexpr milliseconds k_look{250};
+constexpr milliseconds k_idle{60'000};
+
+milliseconds time_left(const gateway_move& move, time_point now, wall_time wall) {
+    auto left = std::chrono::duration_cast<milliseconds>(move.deadline - now);
+    if (move.record) {
+        // A restarted process saw the order late; the record has the deadline of the process that accepted
+        // it.
+        left = std::min(left, std::chrono::duration_cast<milliseconds>(move.record->deadline - wall));
+    }
+    return left;
+}
+
+move_config config_of(const gateway_move& move) {
+    move_config config;
+    config.id = move_id(move.order);
+    config.model = move.order.service;
+    config.to = move.order.version;
+    return config;
+}
+
+void judge(gateway_moves& moves, gateway_move& move, time_point now, moves_output& output) {
+    const auto config = config_of(move);
+    const auto found = judge_round(move.judge, moves.evidence, config, moves.judges, now);
+    if (found && !std::exchange(move.is_vetoed, true)) {
+        move.veto_reason = found->text;
+        output.logs.push_back({"move_vetoed",
+                               {{"move", config.id},
+                                {"version", config.to},
+                                {"detail", found->text},
+                                {"heard", std::to_string(moves.judges)}}});
+    }
+}
+
+double rate_of(const gateway_moves& moves, const gateway_move& move, time_point now) {
+    std::uint64_t requests = 0;
+    for (const auto& [key, counts] : moves.evidence.totals) {
+        requests += key.model == move.order.service ? counts.requests : 0;
+    }
+    const auto seconds = std::chrono::duration<double>(now - move.seen).count();
+    return static_cast<double>(requests) / std::max(seconds, 1.0);
+}
+
+version_move_input input_of(const gateway_moves& moves, const gateway_move& move, time_point now,
+                            wall_time wall) {
+    version_move_input input;
+    input.order = &move.order;
+    input.limits = moves.limits;
+    input.record = move.record;
+    input.time_left = time_left(move, now, wall);
+    const auto whole = std::chrono::duration_cast<milliseconds>(move.deadline - move.seen);
+    input.elapsed = whole - input.time_left;
+    input.targets = static_cast<std::uint32_t>(move.ready_targets.size());
+    input.judged_requests = requests_in_total(move.judge, moves.evidence, config_of(move));
+    input.requests_per_s = rate_of(moves, move, now);
+    input.suspicion = move.judge.suspicion;
+    input.has_excess = has_excess(moves.evidence, move.order.service, move.order.version);
+    input.is_vetoed = move.is_vetoed;
+    input.veto_reason = move.veto_reason.empty() ? "another process found a defect" : move.veto_reason;
+    input.wall = wall;
+    return input;
+}
+
+void plan(const gateway_moves& moves, gateway_move& move, time_point now, wall_time wall,
+          moves_output& output) {
+    auto record = plan_version_move(input_of(moves, move, now, wall));
+    if (!record) {
+        move.due_since.reset();
+        return;
+    }
+    move.due_since = move.due_since.value_or(now);
+    const auto turn = static_cast<std::int64_t>(std::min(moves.turn, k_most_turns));
+    if (move.is_writing || now < *move.due_since + k_turn * turn || now < move.next_write) {
+        return;
+    }
+    record->sequence = move.record ? move.record->sequence + 1 : 1;
+    move.is_writing = true;
+    output.logs.push_back({"move_step",
+                           {{"move", record->id},
+                            {"version", record->to},
+                            {"phase", std::string(name_of(k_move_phase_names, record->phase))},
+                            {"share", std::to_string(record->share)},
+                            {"targets", std::to_string(move.ready_targets.size())},
+                            {"revision", std::to_string(move.revision)},
+                            {"detail", record->reason}}});
+    output.writes.push_back({move.order.service, std::move(*record), move.revision});
+}
+
+bool is_over(const gateway_move& move) {
+    return move.record && is_final(move.record->phase);
+}
+
+void adopt_record(gateway_moves& moves, gateway_move& move) {
+    const auto found = moves.records.find(move.order.service);
+    if (found == moves.records.end()) {
+        return;
+    }
+    move.revision = found->second.second;
+    if (found->second.first.id == move_id(move.order)) {
+        move.record = found->second.first;
+    }
+}
+
+} // namespace
+
+void take_order(gateway_moves& moves, const rollout_order& order, time_point now) {
+    auto& move = moves.open[order.service];
+    if (move.order.revision == order.revision) {
+        return;
+    }
+    // What was seen in an earlier move says nothing about this one.
+    auto& totals = moves.evidence.totals;
+    for (auto counts = totals.begin(); counts != totals.end();) {
+        counts = counts->first.model == order.service ? totals.erase(counts) : std::next(counts);
+    }
+    move = {};
+    move.order = order;
+    move.seen = now;
+    move.deadline = now + milliseconds(static_cast<std::int64_t>(order.duration_s * 1'000.0));
+    adopt_record(moves, move);
+}
+
+void drop_order(gateway_moves& moves, const std::string& service) {
+    moves.open.erase(service);
+}
+
+void take_move_record(gateway_moves& moves, const move_record& record, std::uint64_t revision) {
+    auto& known = moves.records[record.model];
+    if (revision < known.second) {
+        return;
+    }
+    known = {record, revision};
+    const auto found = moves.open.find(record.model);
+    if (found != moves.open.end()) {
+        adopt_record(moves, found->second);
+    }
+}
+
+void take_evidence(gateway_moves& moves, const move_evidence& evidence) {
+    for (const auto& [node, report] : evidence.reports) {
+        add_evidence(moves.evidence, node, report);
+    }
+    moves.judges = std::max<std::size_t>(evidence.reports.size(), 1);
+    moves.turn = evidence.turn;
+    for (auto& [service, move] : moves.open) {
+        const auto& vetoes = evidence.vetoes;
+        const bool is_vetoed = std::find(vetoes.begin(), vetoes.end(), move_id(move.order)) != vetoes.end();
+        move.is_vetoed = move.is_vetoed || is_vetoed;
+    }
+}
+
+void take_written(gateway_moves& moves, const move_written& written, time_point now) {
+    const auto found = moves.open.find(written.service);
+    if (found == moves.open.end()) {
+        return;
+    }
+    found->second.is_writing = false;
+    // The watch brings the record, whoever wrote it.
+    found->second.next_write = now + k_write_pause;
+}
+
+void set_ready_targets(gateway_moves& moves, const std::string& service, std::vector<std::string> targets) {
+    const auto found = moves.open.find(service);
+    if (found != moves.open.end()) {
+        found->second.ready_targets = std::move(targets);
+    }
+}
+
+time_point run_moves(gateway_moves& moves, time_point now, wall_time wall, moves_output& output) {
+    time_point next = now + k_idle;
+    for (auto& [service, move] : moves.open) {
+        if (is_over(move)) {
+            continue;
+        }
+        next = now + k_look;
+        judge(moves, move, now, output);
+        plan(moves, move, now, wall, output);
+    }
+    return next;
+}
+
+std::map<std::string, version_split> make_splits(const gateway_moves& moves, time_point now, wall_time wall) {
+    std::map<std::string, version_split> splits;
+    for (const auto& [service, move] : moves.open) {
+        version_split split;
+        split.move = move_id(move.order);
+        split.version = move.order.version;
+        split.share = share_in_force(move.record, move.is_vetoed, time_left(move, now, wall));
+        split.is_vetoed = move.is_vetoed;
+        split.is_judged = !is_over(move);
+        const auto count = count_canaries(split.share, static_cast<std::uint32_t>(move.ready_targets.size()));
+        if (split.share > 0.0 && split.share < 1.0) {
+            split.canaries.insert(move.ready_targets.begin(), move.ready_targets.begin() + count);
+        }
+        splits.emplace(service, std::move(split));
+    }
+    return splits;
+}
+
+} // namespace lovage
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -1,5 +1,8 @@
 #include "lovage/control/gateway_state.h"
 
+#include "lovage/core/ids.h"
+#include "lovage/core/rendezvous.h"
+
 #include <algorithm>
 #include <set>
 
@@ -49,17 +52,29 @@
     state.table = std::make_shared<const route_table>(std::move(table));
 }
 
-void take_rollout(gateway_state& state, rollout_order order) {
+void take_rollout(gateway_state& state, const rollout_order& order, time_point now) {
     log_belief(state, log_level::info, "rollout_ordered",
-               {{"service", order.service}, {"version", order.version}});
-    state.rollouts[order.service] = std::move(order);
-    state.is_targets_changed = true;
+               {{"service", order.service},
+                {"version", order.version},
+                {"duration_s", std::to_string(order.duration_s)},
+                {"revision", std::to_string(order.revision)}});
+    take_order(state.moves, order, now);
+}
+
+void take_record(gateway_state& state, const move_record& record, std::uint64_t revision) {
+    log_belief(state, log_level::info, "move_known",
+               {{"move", record.id},
+                {"version", record.to},
+                {"phase", std::string(name_of(k_move_phase_names, record.phase))},
+                {"share", std::to_string(record.share)},
+                {"revision", std::to_string(revision)},
+                {"detail", record.reason}});
+    take_move_record(state.moves, record, revision);
 }
 
-void take_operator_change(gateway_state& state, const store_change& change) {
+void take_operator_change(gateway_state& state, const store_change& change, time_point now) {
     if (!change.value) {
-        const auto service = state.documents.rollout_service(change.key);
-        state.is_targets_changed = state.rollouts.erase(service) > 0 || state.is_targets_changed;
+        drop_order(state.moves, state.documents.rollout_service(change.key));
         return;
     }
     auto document = state.documents.decode_operator(change.key, *change.value);
@@ -69,7 +84,9 @@
     } else if (auto* table = std::get_if<route_table>(&*document)) {
         take_table(state, std::move(*table), change.value->revision);
     } else if (auto* order = std::get_if<rollout_order>(&*document)) {
-        take_rollout(state, std::move(*order));
+        take_rollout(state, *order, now);
+    } else if (const auto* record = std::get_if<move_record>(&*document)) {
+        take_record(state, *record, change.value->revision);
     }
 }
 
@@ -127,10 +144,15 @@
     state.is_targets_changed = true;
 }
 
-void miss_absent_targets(gateway_state& state, const followed_event& whole, time_point now) {
+void miss_absent(gateway_state& state, const followed_event& whole, time_point now) {
     std::set<std::string> present;
+    std::set<std::string> ordered;
     for (const auto& change : whole.changes) {
         present.insert(state.documents.target_id(change.key));
+        ordered.insert(state.documents.rollout_service(change.key));
+    }
+    for (auto move = state.moves.open.begin(); move != state.moves.open.end();) {
+        move = ordered.count(move->first) == 0 ? state.moves.open.erase(move) : std::next(move);
     }
     std::vector<std::string> missing;
     for (const auto& [id, target] : state.targets) {
@@ -155,17 +177,29 @@
         if (target.created < newest[target.record.address]) {
             continue;
         }
-        const auto rollout = state.rollouts.find(target.record.service);
-        // A version that is being moved to gets no traffic before it is judged.
-        const bool is_held_back =
-            rollout != state.rollouts.end() && rollout->second.version == target.record.version;
-        if (!is_held_back) {
-            (*lists)[target.record.service].push_back(target.record);
-        }
+        (*lists)[target.record.service].push_back(target.record);
     }
     return lists;
 }
 
+// Ids of the ready targets of a version in an order that spreads them over the zones.
+std::vector<std::string> ready_targets_of(const gateway_state& state, const std::string& service,
+                                          const std::string& version) {
+    std::vector<std::string> ids;
+    for (const auto& [id, target] : state.targets) {
+        const auto& record = target.record;
+        if (record.service == service && record.version == version && record.phase == target_phase::ready &&
+            !target.missing_until) {
+            ids.push_back(id);
+        }
+    }
+    const auto key = hash_bytes(version);
+    std::sort(ids.begin(), ids.end(), [key](const std::string& a, const std::string& b) {
+        return rendezvous_rank(a, key) > rendezvous_rank(b, key);
+    });
+    return ids;
+}
+
 } // namespace
 
 void follow(gateway_state& state, followed_event event, time_point now) {
@@ -177,7 +211,7 @@
     for (const auto& change : event.changes) {
         const auto id = state.documents.target_id(change.key);
         if (id.empty()) {
-            take_operator_change(state, change);
+            take_operator_change(state, change, now);
         } else if (change.value) {
             take_target(state, id, change, now);
         } else {
@@ -187,7 +221,7 @@
     if (event.is_whole) {
         const bool had_targets = std::exchange(state.has_targets, true);
         state.is_targets_changed = state.is_targets_changed || !had_targets;
-        miss_absent_targets(state, event, now);
+        miss_absent(state, event, now);
     }
     state.table_confirmed = std::max(state.table_confirmed, event.confirmed);
 }
@@ -215,9 +249,23 @@
     return next;
 }
 
-gateway_view_ptr make_gateway_view(gateway_state& state) {
+time_point plan_moves(gateway_state& state, time_point now, wall_time wall, std::vector<move_write>& writes) {
+    for (const auto& [service, move] : state.moves.open) {
+        set_ready_targets(state.moves, service, ready_targets_of(state, service, move.order.version));
+    }
+    moves_output output;
+    const auto next = run_moves(state.moves, now, wall, output);
+    for (auto& [event, fields] : output.logs) {
+        log_belief(state, log_level::info, event, std::move(fields));
+    }
+    std::move(output.writes.begin(), output.writes.end(), std::back_inserter(writes));
+    return next;
+}
+
+gateway_view_ptr make_gateway_view(gateway_state& state, time_point now, wall_time wall) {
+    auto splits = make_splits(state.moves, now, wall);
     const bool is_same = state.view->table == state.table && !state.is_targets_changed &&
-                         state.view->table_confirmed == state.table_confirmed;
+                         state.view->table_confirmed == state.table_confirmed && state.view->splits == splits;
     if (is_same) {
         return state.view;
     }
@@ -225,6 +273,7 @@
     view->sequence = ++state.sequence;
     view->table = state.table;
     view->table_confirmed = state.table_confirmed;
+    view->splits = std::move(splits);
     if (state.has_targets && std::exchange(state.is_targets_changed, false)) {
         view->targets = make_targets(state);
     }
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -35,6 +35,8 @@
 constexpr milliseconds k_store_timeout{1'000};
 // How often a leaving process looks whether its work is done.
 constexpr milliseconds k_leave_poll{50};
+// How often the control thread gets what has been seen of versions while one is judged.
+constexpr milliseconds k_evidence_pause{250};
 // This process is not ready when the store has been silent for this part of the time for which keys are
 // trusted.
 constexpr double k_ready_part = 0.6;
@@ -53,6 +55,7 @@
     decision_sink make_sink();
     status_page page(const std::string& path);
     bool is_ready() const;
+    void post_evidence();
     void wait_for_signal();
     void leave();
     void poll_leave();
@@ -63,6 +66,7 @@
     asio::signal_set m_reload_signals{m_io, SIGHUP};
     asio::steady_timer m_leave_timer{m_io};
     asio::steady_timer m_accept_timer{m_io};
+    asio::steady_timer m_evidence_timer{m_io};
     metrics m_metrics;
     request_codec m_codec = platform::make_request_codec();
     gateway_traffic m_traffic;
@@ -127,7 +131,9 @@
     };
     gateway_control_ports ports;
     ports.documents = platform::make_documents();
+    ports.moves = m_settings.moves;
     ports.store = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
+    ports.writes = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
     ports.publish = [this](gateway_view_ptr view) {
         asio::post(m_io, [this, view = std::move(view)]() mutable {
             take_view(m_traffic, std::move(view));
@@ -199,6 +205,7 @@
         }
     });
     m_control = gateway_control::start(make_control_ports());
+    post_evidence();
     wait_for_signal();
     log_event(log_level::info, "started",
               {{"node", m_settings.node},
@@ -233,6 +240,18 @@
     return {};
 }
 
+void gateway_process::post_evidence() {
+    if (is_judging(m_traffic) && !m_control->post(collect_evidence(m_traffic))) {
+        log_event(log_level::warning, "evidence_dropped", {{"detail", "the control thread is busy"}});
+    }
+    m_evidence_timer.expires_after(k_evidence_pause);
+    m_evidence_timer.async_wait([this](const error_code& cancelled) {
+        if (!cancelled) {
+            post_evidence();
+        }
+    });
+}
+
 void gateway_process::wait_for_signal() {
     m_stop_signals.async_wait([this](const error_code& cancelled, int signal) {
         if (!cancelled) {
--- a/src/programs/lovage-gateway/gateway_settings.h
+++ b/src/programs/lovage-gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include "lovage/core/boot_time.h"
 #include "lovage/core/retry_window.h"
 #include "lovage/core/time.h"
+#include "lovage/core/version_move.h"
 
 #include <cstddef>
 #include <string>
@@ -28,6 +29,7 @@
     retry_window_limits retries;
     /// How long after the store's last confirmation keys are accepted.
     milliseconds key_trust{5'000};
+    move_limits moves;
     /// Time between SIGTERM and the platform's kill.
     milliseconds grace{8'000};
 };
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -13,6 +13,32 @@
 constexpr std::size_t k_troubled_targets = 3;
 constexpr milliseconds k_trouble_time{1'500};
 
+std::vector<target_candidate> candidates_on_side(gateway_traffic& traffic, const std::string& service,
+                                                 version_side side) {
+    std::vector<target_candidate> candidates;
+    if (!traffic.view->targets) {
+        return candidates;
+    }
+    const auto found = traffic.view->targets->find(service);
+    if (found == traffic.view->targets->end()) {
+        return candidates;
+    }
+    const auto* split = find_split(traffic, service);
+    for (const auto& target : found->second) {
+        const bool is_on_side = split == nullptr || takes_side(*split, side, target.id, target.version);
+        if (target.phase == target_phase::ready && is_on_side) {
+            candidates.push_back({&target, traffic.usage[target.id]});
+            auto& usage = candidates.back().usage;
+            const auto foreign = foreign_usage(traffic, target.id);
+            usage.foreign = std::max(usage.foreign, foreign.in_flight);
+            usage.reported_at = foreign.in_flight > 0 ? traffic.timers.now() : usage.reported_at;
+            usage.waiting_first += foreign.waiting_first;
+            usage.copies += foreign.copies;
+        }
+    }
+    return candidates;
+}
+
 } // namespace
 
 void record_trouble(gateway_traffic& traffic, const std::string& service, const std::string& zone,
@@ -104,24 +130,14 @@
     }
 }
 
-std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service) {
-    std::vector<target_candidate> candidates;
-    if (!traffic.view->targets) {
-        return candidates;
-    }
-    const auto found = traffic.view->targets->find(service);
-    if (found == traffic.view->targets->end()) {
-        return candidates;
-    }
-    for (const auto& target : found->second) {
-        if (target.phase == target_phase::ready) {
-            candidates.push_back({&target, traffic.usage[target.id]});
-            auto& usage = candidates.back().usage;
-            const auto foreign = foreign_usage(traffic, target.id);
-            usage.foreign = std::max(usage.foreign, foreign.in_flight);
-            usage.reported_at = foreign.in_flight > 0 ? traffic.timers.now() : usage.reported_at;
-            usage.waiting_first += foreign.waiting_first;
-            usage.copies += foreign.copies;
+std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service,
+                                            version_side side) {
+    auto candidates = candidates_on_side(traffic, service, side);
+    const auto* split = find_split(traffic, service);
+    if (candidates.empty() && split != nullptr) {
+        const auto other = side == version_side::usual ? version_side::moved : version_side::usual;
+        if (other == version_side::usual || split->share >= 1.0) {
+            candidates = candidates_on_side(traffic, service, other);
         }
     }
     return candidates;
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t k_max_usage = 40;
 constexpr std::size_t k_max_troubles = 8;
 constexpr std::size_t k_max_peers = 12;
+constexpr std::size_t k_max_evidence = 24;
+constexpr std::size_t k_max_vetoes = 8;
 // Processes that are sent reports; more of them are reached through each other.
 constexpr std::size_t k_max_receivers = 32;
 
@@ -46,6 +48,15 @@
     for (const auto& [at, trouble] : exchange.troubles) {
         report.troubles.push_back(trouble);
     }
+    if (is_judging(traffic)) {
+        report.evidence = traffic.versions.evidence.report().items;
+        report.evidence.resize(std::min(report.evidence.size(), k_max_evidence));
+    }
+    for (const auto& [service, split] : traffic.view->splits) {
+        if (split.is_vetoed && report.vetoes.size() < k_max_vetoes) {
+            report.vetoes.push_back(split.move);
+        }
+    }
     // A random part, so that every process hears of all others after some reports.
     for (const auto& [node, peer] : exchange.peers) {
         report.peers.push_back(peer.report.address);
@@ -173,19 +184,25 @@
     return sum;
 }
 
-std::size_t live_peers(const gateway_traffic& traffic) {
+std::vector<const peer_report*> live_reports(const gateway_traffic& traffic) {
     const auto now = traffic.timers.now();
-    return static_cast<std::size_t>(
-        std::count_if(traffic.peers.peers.begin(), traffic.peers.peers.end(),
-                      [now](const auto& entry) { return is_live(entry.second, now); }));
+    std::vector<const peer_report*> reports;
+    for (const auto& [node, peer] : traffic.peers.peers) {
+        if (is_live(peer, now)) {
+            reports.push_back(&peer.report);
+        }
+    }
+    return reports;
+}
+
+std::size_t live_peers(const gateway_traffic& traffic) {
+    return live_reports(traffic).size();
 }
 
 std::size_t serving_peers(const gateway_traffic& traffic) {
-    const auto now = traffic.timers.now();
-    return static_cast<std::size_t>(
-        std::count_if(traffic.peers.peers.begin(), traffic.peers.peers.end(), [now](const auto& entry) {
-            return is_live(entry.second, now) && !entry.second.report.is_leaving;
-        }));
+    const auto reports = live_reports(traffic);
+    return static_cast<std::size_t>(std::count_if(
+        reports.begin(), reports.end(), [](const peer_report* report) { return !report->is_leaving; }));
 }
 
 } // namespace lovage
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t k_max_held_answer = 262'144;
 // Above this many bytes that the caller has not taken, reading from the target pauses.
 constexpr std::size_t k_max_backlog = 262'144;
+// Events after which the pace of a stream is compared with the usual one.
+constexpr int k_paced_events = 12;
 // Streams over which their time is averaged.
 constexpr int k_stream_time_streams = 8;
 
@@ -103,6 +105,7 @@
         }
     }
     record_event(current.pace, now);
+    observe_event();
     current.status.reset();
     keep_copy();
     const auto number = event_number(event.id);
@@ -126,6 +129,37 @@
     }
 }
 
+observed_answer proxied_request::observed(const attempt& current) const {
+    return {m_service_name, m_route->name, current.version};
+}
+
+void proxied_request::watch_begin() {
+    const auto limit = m_attempt->from_copy ? std::nullopt : slow_limit(m_traffic, observed(*m_attempt));
+    if (!limit) {
+        return;
+    }
+    m_begin_timer = m_traffic.timers.after(*limit, [self = shared_from_this(), number = m_attempt->number] {
+        self->m_begin_timer = nullptr;
+        if (self->m_attempt && self->m_attempt->number == number && !self->m_attempt->has_event) {
+            self->m_attempt->is_overdue = true;
+            observe_overdue(self->m_traffic, self->observed(*self->m_attempt), false);
+        }
+    });
+}
+
+void proxied_request::observe_event() {
+    const auto& current = *m_attempt;
+    const auto count = ++m_attempt->event_count;
+    if (count == 1) {
+        if (!current.from_copy && !current.is_overdue) {
+            observe_first(m_traffic, observed(current), current.first_event - current.started);
+        }
+    } else if (count == k_paced_events) {
+        observe_gap(m_traffic, observed(current),
+                    (m_traffic.timers.now() - current.first_event) / (k_paced_events - 1));
+    }
+}
+
 void proxied_request::start_stream() {
     if (!m_is_started) {
         m_is_started = true;
@@ -164,6 +198,9 @@
         return;
     }
     const attempt done = take_attempt();
+    if (!done.is_overdue) {
+        observe_first(m_traffic, observed(done), m_traffic.timers.now() - done.started);
+    }
     record_target_success(m_traffic.usage[done.target_id]);
     release_target(done);
     deliver_answer(done);
--- a/src/traffic/proxied_placement.cpp
+++ b/src/traffic/proxied_placement.cpp
@@ -61,7 +61,7 @@
 }
 
 void proxied_request::look_for_prompt() {
-    const auto candidates = candidates_of(m_traffic, m_service_name);
+    const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
     const auto preferred = preferred_targets(candidates, m_request.prompt);
     // Answers may come before the last question is asked.
     m_search.open_questions = preferred.size() + 1;
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -69,6 +69,7 @@
     m_ends = m_request.received + allowed;
     m_deadline_timer = m_traffic.timers.after(std::max(time_left(), milliseconds(0)),
                                               [self = shared_from_this()] { self->time_out(); });
+    m_side = draw_side(m_traffic, m_service_name, m_request.forwarded->id);
     record_first_send(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
     if (has_earlier_answer()) {
         look_for_prompt();
@@ -92,7 +93,7 @@
 }
 
 void proxied_request::send(bool from_copy) {
-    const auto candidates = candidates_of(m_traffic, m_service_name);
+    const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
     const auto want = placement_among(candidates);
     const target_record* record =
         from_copy ? find_ready_target(m_traffic, m_service_name, m_copy.target_id) : nullptr;
@@ -109,6 +110,7 @@
     next.target_id = record->id;
     next.zone = record->zone;
     next.address = record->address;
+    next.version = record->version;
     next.from_copy = from_copy;
     next.started = want.now;
     next.pace.last = want.now;
@@ -138,6 +140,7 @@
     if (is_stream()) {
         report_change(m_traffic);
     }
+    watch_begin();
     watch_silence();
 }
 
@@ -145,6 +148,7 @@
     attempt taken = std::move(*m_attempt);
     m_attempt.reset();
     cancel_timer(m_silence_timer);
+    cancel_timer(m_begin_timer);
     return taken;
 }
 
@@ -204,7 +208,17 @@
         m_copy = {};
     }
     m_excluded.push_back(target);
+    const bool engine_answers = ended.status && ended.status->state != run_state::no_answer;
+    if (end == attempt_end::silent && engine_answers && !ended.is_overdue) {
+        observe_overdue(m_traffic, observed(ended), ended.has_event);
+    }
+    // A version that is not judged yet gets one attempt of a request.
+    const auto* split = find_split(m_traffic, m_service_name);
+    if (split != nullptr && split->share < 1.0) {
+        m_side = version_side::usual;
+    }
     if (end == attempt_end::failed_answer) {
+        observe_failure(m_traffic, observed(ended));
         m_failed = std::move(ended);
     }
     follow_plan(end, detail + " at " + target);
@@ -229,7 +243,7 @@
         const auto* holder = find_ready_target(m_traffic, m_service_name, copy.target_id);
         facts.has_copy = holder != nullptr && m_traffic.usage[copy.target_id].avoid_until <= now;
     }
-    const auto candidates = candidates_of(m_traffic, m_service_name);
+    const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
     facts.has_target = std::any_of(candidates.begin(), candidates.end(), [this](const auto& candidate) {
         const auto& id = candidate.record->id;
         return !(m_attempt && m_attempt->target_id == id) &&
--- a/src/traffic/proxied_silence.cpp
+++ b/src/traffic/proxied_silence.cpp
@@ -126,7 +126,7 @@
     auto& current = *m_attempt;
     memory_copy copy = current.copy;
     if (is_new_holder) {
-        const auto candidates = candidates_of(m_traffic, m_service_name);
+        const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
         auto want = placement_among(candidates);
         want.excluded = {current.target_id, current.copy.target_id};
         want.avoided_zone = current.zone;
--- /dev/null
+++ b/src/traffic/version_evidence.cpp
@@ -0,0 +1,134 @@
+#include "lovage/traffic/version_evidence.h"
+
+#include "lovage/core/ids.h"
+#include "lovage/traffic/gateway_traffic.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lovage {
+
+namespace {
+
+// An answer is slow above this many times the usual one; a prompt that is read beside another takes twice as
+// long.
+constexpr double k_slow_factor = 3.0;
+// Answers of the usual version before anything is called slow.
+constexpr std::uint64_t k_least_answers = 10;
+// Weight of a new answer in the running means.
+constexpr double k_mean_weight = 0.05;
+
+double to_ms_number(time_point::duration duration) {
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+// Returns whether `value` is slow, and lets the mean follow answers of the usual version.
+bool compare(double& mean, std::uint64_t answers, double value, bool is_usual) {
+    const bool is_slow = answers >= k_least_answers && value > k_slow_factor * mean;
+    if (is_usual) {
+        mean = answers == 0 ? value : mean + k_mean_weight * (value - mean);
+    }
+    return is_slow;
+}
+
+struct observation {
+    evidence_key key;
+    bool is_usual = true;
+    usual_pace* pace = nullptr;
+};
+
+// Nothing if the service is not judged. All versions but the one that is moved to count as one.
+std::optional<observation> observe(gateway_traffic& traffic, const observed_answer& answer) {
+    const auto* split = find_split(traffic, answer.service);
+    if (split == nullptr || !split->is_judged) {
+        return std::nullopt;
+    }
+    observation made;
+    made.is_usual = answer.version != split->version;
+    made.key = {answer.service, made.is_usual ? std::string() : answer.version, answer.route};
+    made.pace = &traffic.versions.paces[{answer.service, answer.route}];
+    return made;
+}
+
+} // namespace
+
+const version_split* find_split(const gateway_traffic& traffic, const std::string& service) {
+    const auto found = traffic.view->splits.find(service);
+    return found == traffic.view->splits.end() ? nullptr : &found->second;
+}
+
+version_side draw_side(const gateway_traffic& traffic, const std::string& service,
+                       const std::string& request_id) {
+    const auto* split = find_split(traffic, service);
+    if (split == nullptr || split->share <= 0.0) {
+        return version_side::usual;
+    }
+    if (split->share >= 1.0) {
+        return version_side::moved;
+    }
+    // The move's name is the seed, so that different moves try different requests.
+    const auto hash = static_cast<double>(hash_bytes(request_id, hash_bytes(split->move)));
+    const double position = hash / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return position < split->share ? version_side::moved : version_side::usual;
+}
+
+std::optional<milliseconds> slow_limit(const gateway_traffic& traffic, const observed_answer& answer) {
+    const auto* split = find_split(traffic, answer.service);
+    const auto pace = traffic.versions.paces.find({answer.service, answer.route});
+    if (split == nullptr || !split->is_judged || pace == traffic.versions.paces.end() ||
+        pace->second.answers < k_least_answers) {
+        return std::nullopt;
+    }
+    return milliseconds(static_cast<std::int64_t>(k_slow_factor * pace->second.first_ms) + 1);
+}
+
+void observe_first(gateway_traffic& traffic, const observed_answer& answer, time_point::duration waited) {
+    if (const auto made = observe(traffic, answer)) {
+        auto& pace = *made->pace;
+        const bool is_slow = compare(pace.first_ms, pace.answers, to_ms_number(waited), made->is_usual);
+        pace.answers += made->is_usual ? 1 : 0;
+        traffic.versions.evidence.record(made->key, is_slow ? evidence_event_kind::slow_first_token
+                                                            : evidence_event_kind::first_token);
+    }
+}
+
+void observe_overdue(gateway_traffic& traffic, const observed_answer& answer, bool has_begun) {
+    if (const auto made = observe(traffic, answer)) {
+        traffic.versions.evidence.record(made->key, has_begun ? evidence_event_kind::slow_gap
+                                                              : evidence_event_kind::slow_first_token);
+    }
+}
+
+void observe_gap(gateway_traffic& traffic, const observed_answer& answer, time_point::duration mean_gap) {
+    if (const auto made = observe(traffic, answer)) {
+        if (compare(made->pace->gap_ms, made->pace->answers, to_ms_number(mean_gap), made->is_usual)) {
+            traffic.versions.evidence.record(made->key, evidence_event_kind::slow_gap);
+        }
+    }
+}
+
+void observe_failure(gateway_traffic& traffic, const observed_answer& answer) {
+    if (const auto made = observe(traffic, answer)) {
+        traffic.versions.evidence.record(made->key, evidence_event_kind::failure);
+    }
+}
+
+bool is_judging(const gateway_traffic& traffic) {
+    const auto& splits = traffic.view->splits;
+    return std::any_of(splits.begin(), splits.end(), [](const auto& item) { return item.second.is_judged; });
+}
+
+move_evidence collect_evidence(const gateway_traffic& traffic) {
+    move_evidence evidence;
+    const auto& own = traffic.peers;
+    evidence.reports.emplace_back(own.node, traffic.versions.evidence.report());
+    for (const auto* report : live_reports(traffic)) {
+        evidence.reports.emplace_back(report->node, evidence_message{report->evidence});
+        evidence.vetoes.insert(evidence.vetoes.end(), report->vetoes.begin(), report->vetoes.end());
+        // A process that stops leaves its turn to the others.
+        evidence.turn += !report->is_leaving && report->node < own.node ? 1 : 0;
+    }
+    return evidence;
+}
+
+} // namespace lovage
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -215,10 +215,47 @@
     await until(lambda: not any(e.active for e in f.world.engines), 0.5, "work goes on after the caller left")
 
 
+async def move_version(f, is_bad, is_killed):
+    """Orders a move, keeps calling and returns the new servers once the move is over."""
+    added = await f.world.start_version("v2", 3, fail=is_bad)
+    f.world.store.put("op/rollout/app", {"Service": "app", "Target": "v2", "DurationS": 8})
+    end = time.monotonic() + 8.0
+    killed = False
+    while time.monotonic() < end and f.world.statuses()[-1:] not in (["completed"], ["rolled_back"]):
+        await asyncio.gather(*[call(f.port, "read") for _ in range(6)])
+        if is_killed and not killed and any(s.runs for s in added):
+            killed = True
+            await f.gateways[1].stop()
+    return added
+
+
+async def good_version_is_moved_to(f):
+    """Guards against a good version that is not moved to, and against traffic that stays at the old servers."""
+    added = await move_version(f, is_bad=False, is_killed=True)
+    check(f.world.statuses() == ["running", "completed"], f"status {f.world.statuses()}")
+    before = sum(len(s.runs) for s in added)
+    for _ in range(5):
+        check_whole(await call(f.port, "read"))
+    check(sum(len(s.runs) for s in added) == before + 5, "requests at the old servers after the move")
+
+
+async def bad_version_is_taken_back(f):
+    """Guards against a bad version that gets many requests, or any after its rollback."""
+    added = await move_version(f, is_bad=True, is_killed=False)
+    check(f.world.statuses() == ["running", "rolled_back"], f"status {f.world.statuses()}")
+    bad = sum(len(s.runs) for s in added)
+    all_runs = sum(len(s.runs) for s in f.world.plain)
+    check(0 < bad <= 0.1 * all_runs + 50, f"{bad} of {all_runs} requests at the bad version")
+    for _ in range(20):
+        check_whole(await call(f.port, "read"))
+    check(sum(len(s.runs) for s in added) == bad, "requests at the bad version after its rollback")
+
+
 CASES = [serves_each_kind, stream_lives_through_a_crash, stream_lives_through_silence, publish_runs_once,
          read_is_repeated_once, draining_server_gets_no_new_work, restarted_server_is_found, revoked_key_is_closed,
          lost_store_closes_keys, forgotten_history_is_read_again, planned_stop_cuts_nothing,
-         killed_process_serves_again, stopped_work_of_gone_callers]
+         killed_process_serves_again, stopped_work_of_gone_callers,
+         good_version_is_moved_to, bad_version_is_taken_back]
 
 
 async def run_case(binary, case):
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -109,6 +109,7 @@
         self.changed = asyncio.Event()
         self.mode = "up"  # up, busy (503), silent
         self.calls = 0
+        self.writes = []  # keys and values that the system wrote
 
     def put(self, key, value):
         self.revision += 1
@@ -145,6 +146,15 @@
             except asyncio.TimeoutError:
                 pass
 
+    def transact(self, body):
+        for row in body["ExpectedRev"]:
+            if self.items.get(row["Key"], {"Revision": 0})["Revision"] != row["Revision"]:
+                return answer(412, json.dumps({"Items": []}).encode())
+        for put in body["Puts"]:
+            self.writes.append((put["Key"], base64.b64decode(put["Value"])))
+            self.put(put["Key"], self.writes[-1][1])
+        return answer(200, json.dumps({"Revision": self.revision}).encode())
+
     async def handle(self, request, writer):
         self.calls += 1
         if self.mode == "silent":
@@ -160,6 +170,8 @@
             rest = [i for i in items if i["Key"] > request.query.get("After", "")]
             body = {"Items": rest[:3], "MorePages": len(rest) > 3, "StoreRevision": self.revision}
             out = answer(200, json.dumps(body).encode())
+        elif request.path == "/kv-txn":
+            out = self.transact(json.loads(request.body))
         else:
             out = answer(404)
         writer.write(out)
@@ -174,6 +186,7 @@
         super().__init__()
         self.world, self.name, self.service, self.zone = world, name, service, zone
         self.life = 0
+        self.version = "v1"
         self.runs = {}
 
     @property
@@ -181,7 +194,7 @@
         return f"i-{self.name}-{self.life}"
 
     def register(self, state="ready"):
-        entry = {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "v1",
+        entry = {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": self.version,
                  "Slots": 24, "State": state, "ColdLeftMs": 0, "Seq": 1}
         self.world.store.put("servers/" + self.id, entry)
 
@@ -306,6 +319,21 @@
     def targets(self):
         return self.engines + self.plain
 
+    async def start_version(self, version, count, fail=False):
+        """Starts plain servers of another version beside the others."""
+        added = [PlainServer(self, f"{version}-{i}", "app", "abc"[i % 3]) for i in range(count)]
+        for server in added:
+            server.version, server.fail = version, fail
+            self.plain.append(server)
+            await server.start()
+            server.register()
+        return added
+
+    def statuses(self):
+        """States of the service's move in the order in which they were written, without repetitions."""
+        states = [json.loads(v)["State"] for k, v in self.store.writes if k == "status/rollout/app"]
+        return [s for i, s in enumerate(states) if i == 0 or states[i - 1] != s]
+
     def engine_at(self, address):
         return next((e for e in self.engines if e.address == address), None)
 
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -54,12 +54,22 @@
     return event;
 }
 
+gateway_view_ptr view_of(gateway_state& state) {
+    return make_gateway_view(state, at_ms(0), wall_time(milliseconds(0)));
+}
+
+// Targets that requests may go to.
 std::vector<std::string> ids(gateway_state& state) {
-    const auto view = make_gateway_view(state);
+    const auto view = view_of(state);
+    const auto split = view->splits.find("s");
     std::vector<std::string> found;
     if (view->targets && view->targets->count("s") > 0) {
         for (const auto& record : view->targets->at("s")) {
-            found.push_back(record.id);
+            if (split == view->splits.end() ||
+                takes_side(split->second, version_side::usual, record.id, record.version) ||
+                split->second.share > 0.0) {
+                found.push_back(record.id);
+            }
         }
     }
     return found;
@@ -68,9 +78,9 @@
 // Guards against a first list that is never shown (a restarted process served nothing).
 TEST_CASE("the first whole content shows the configuration and the targets") {
     auto state = make_state();
-    CHECK_FALSE(make_gateway_view(state)->targets);
+    CHECK_FALSE(view_of(state)->targets);
     follow(state, whole({config(3, 1), target("t1", "10.0.0.1:1", "ready", 2)}), at_ms(0));
-    const auto view = make_gateway_view(state);
+    const auto view = view_of(state);
     REQUIRE(view->table);
     CHECK(view->table->version == 3);
     CHECK(ids(state) == std::vector<std::string>{"t1"});
@@ -81,9 +91,9 @@
     auto state = make_state();
     follow(state, whole({config(5, 9)}), at_ms(0));
     follow(state, changed({config(4, 11)}), at_ms(1));
-    CHECK(make_gateway_view(state)->table->version == 5);
+    CHECK(view_of(state)->table->version == 5);
     follow(state, changed({config(9, 12)}), at_ms(2));
-    CHECK(make_gateway_view(state)->table->version == 9);
+    CHECK(view_of(state)->table->version == 9);
 }
 
 struct removal_case {
@@ -127,10 +137,55 @@
            changed({{"op/rollout/s", store_value{R"({"Service":"s","Target":"v2","DurationS":12})", 9}}}),
            at_ms(1));
     CHECK(ids(state) == std::vector<std::string>{"new"});
+    // The order is still there when everything is read again, and gone when it is not.
+    follow(state,
+           whole({config(1, 1),
+                  target("new", "10.0.0.1:1", "ready", 7),
+                  target("next", "10.0.0.2:1", "ready", 8, "v2"),
+                  {"op/rollout/s", store_value{R"({"Service":"s","Target":"v2","DurationS":12})", 9}}}),
+           at_ms(2));
+    CHECK(ids(state) == std::vector<std::string>{"new"});
     follow(state, changed({{"op/rollout/s", std::nullopt}}), at_ms(2));
     CHECK(ids(state) == std::vector<std::string>{"new", "next"});
 }
 
+struct status_case {
+    move_phase phase;
+    const char* state;
+    double share;
+};
+
+// Guards against a status that says more than the record, and a record that a process does not know again.
+TEST_CASE("a record and the operators' status are written together") {
+    const auto test = GENERATE(from_range(std::vector<status_case>{
+        {move_phase::loading, "running", 0.0},
+        {move_phase::canary, "running", 0.1},
+        {move_phase::growing, "running", 1.0},
+        {move_phase::landed, "completed", 1.0},
+        {move_phase::reverted, "rolled_back", 0.0},
+    }));
+    auto state = make_state();
+    move_record record;
+    record.id = "s@9";
+    record.model = "s";
+    record.to = "v2";
+    record.phase = test.phase;
+    record.share = test.share;
+    record.deadline = wall_time(milliseconds(12'000));
+    const auto puts = state.documents.encode_move(record);
+    REQUIRE(puts.size() == 2);
+    CHECK(puts[0].key == state.documents.move_key("s"));
+    CHECK(puts[1].key == "status/rollout/s");
+    CHECK(puts[1].value.find(std::string(R"("State":")") + test.state + '"') != std::string::npos);
+    CHECK(puts[1].value.find(R"("Target":"v2")") != std::string::npos);
+    follow(state,
+           whole({config(1, 1),
+                  {puts[0].key, store_value{puts[0].value, 20}},
+                  {"op/rollout/s", store_value{R"({"Service":"s","Target":"v2","DurationS":12})", 9}}}),
+           at_ms(0));
+    CHECK(view_of(state)->splits.at("s").share == test.share);
+}
+
 // Guards against entries of another writer that bring the process down or name a target to use.
 TEST_CASE("an entry that cannot be read names no target") {
     const std::string text = GENERATE(from_range(std::vector<std::string>{
@@ -141,7 +196,7 @@
     auto state = make_state();
     follow(state, whole({config(1, 1), {"servers/t1", store_value{text, 2}}}), at_ms(0));
     CHECK(ids(state).empty());
-    CHECK(make_gateway_view(state)->table);
+    CHECK(view_of(state)->table);
 }
 
 // Guards against a process that trusts keys longer than the store has confirmed them.
@@ -151,7 +206,7 @@
     event.confirmed = std::chrono::seconds(50);
     follow(state, event, at_ms(0));
     follow(state, failure(), at_ms(1));
-    CHECK(make_gateway_view(state)->table_confirmed == std::chrono::seconds(50));
+    CHECK(view_of(state)->table_confirmed == std::chrono::seconds(50));
     CHECK(are_keys_trusted(std::chrono::seconds(50), std::chrono::seconds(55), std::chrono::seconds(5)));
     CHECK_FALSE(are_keys_trusted(std::chrono::seconds(50), std::chrono::milliseconds(55'001),
                                  std::chrono::seconds(5)));
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -197,11 +197,15 @@
     report.usage = {{"t1", 1, 2, 3}};
     report.troubles = {{"s", "z", "t2", target_trouble::replaced, 4}};
     report.peers = {"10.0.0.2:7"};
+    report.evidence = {{"s", "v2", "r", 9, 1, 2, 3}};
+    report.vetoes = {"s@7"};
     const auto bytes = encode_report(report);
     const auto read = decode_report(bytes);
     REQUIRE(read);
     CHECK(encode_report(*read) == bytes);
     CHECK(read->troubles.at(0).trouble == target_trouble::replaced);
+    CHECK(read->evidence.at(0).slow_gaps == 3);
+    CHECK(read->vetoes == report.vetoes);
     for (std::size_t size = 0; size < bytes.size(); ++size) {
         CHECK_FALSE(decode_report(bytes.substr(0, size)));
     }
--- /dev/null
+++ b/tests/unit/version_move_test.cpp
@@ -0,0 +1,408 @@
+#include "lovage/control/gateway_moves.h"
+#include "lovage/core/version_move.h"
+#include "support/fake_gateway.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace lovage {
+
+namespace {
+
+using testing::fake_gateway;
+
+time_point at_ms(std::int64_t ms) {
+    return time_point(milliseconds(ms));
+}
+
+wall_time wall_ms(std::int64_t ms) {
+    return wall_time(milliseconds(1'000'000 + ms));
+}
+
+const rollout_order k_order{"s", "v2", 10.0, 7};
+
+move_record record_in(move_phase phase, double share) {
+    move_record record;
+    record.id = move_id(k_order);
+    record.model = "s";
+    record.to = "v2";
+    record.phase = phase;
+    record.share = share;
+    record.deadline = wall_ms(10'000);
+    return record;
+}
+
+struct plan_case {
+    const char* name;
+    std::optional<move_record> record;
+    std::int64_t elapsed_ms;
+    std::uint32_t targets;
+    std::uint64_t judged;
+    double suspicion;
+    bool is_vetoed;
+    /// Nothing if the record stays.
+    std::optional<move_phase> next;
+    bool has_excess = false;
+};
+
+// Guards against a bad version that lands, a good one that does not, and a record that changes after its end.
+TEST_CASE("a move goes from phase to phase by its evidence and its time") {
+    const auto test = GENERATE(from_range(std::vector<plan_case>{
+        {"accepted", std::nullopt, 0, 0, 0, 0.0, false, move_phase::loading},
+        {"no target yet", record_in(move_phase::loading, 0.0), 1'000, 0, 0, 0.0, false, std::nullopt},
+        {"rate not known", record_in(move_phase::loading, 0.0), 1'000, 3, 0, 0.0, false, std::nullopt},
+        {"targets", record_in(move_phase::loading, 0.0), 1'500, 3, 0, 0.0, false, move_phase::canary},
+        {"judged too short", record_in(move_phase::canary, 0.1), 4'900, 3, 500, 0.0, false, std::nullopt},
+        {"too few requests", record_in(move_phase::canary, 0.1), 6'000, 3, 19, 0.0, false, std::nullopt},
+        {"in excess", record_in(move_phase::canary, 0.1), 6'000, 3, 500, 0.0, false, std::nullopt, true},
+        {"suspicious", record_in(move_phase::canary, 0.1), 6'000, 3, 500, 0.6, false, std::nullopt},
+        {"good", record_in(move_phase::canary, 0.1), 5'000, 3, 20, 0.2, false, move_phase::growing},
+        {"vetoed", record_in(move_phase::canary, 0.1), 1'000, 3, 20, 0.2, true, move_phase::reverted},
+        {"vetoed while others end", record_in(move_phase::growing, 1.0), 6'000, 3, 90, 0.0, true,
+         move_phase::reverted},
+        {"others end", record_in(move_phase::growing, 1.0), 7'900, 3, 90, 0.0, false, std::nullopt},
+        {"landed", record_in(move_phase::growing, 1.0), 8'000, 3, 90, 0.0, false, move_phase::landed},
+        {"late landing", record_in(move_phase::growing, 1.0), 9'900, 3, 90, 0.0, false, move_phase::landed},
+        {"after the deadline", record_in(move_phase::growing, 1.0), 10'001, 3, 90, 0.0, false,
+         move_phase::reverted},
+        {"canary at the end", record_in(move_phase::canary, 0.1), 9'100, 3, 500, 0.6, false,
+         move_phase::reverted},
+        {"seen too late", std::nullopt, 9'500, 3, 0, 0.0, false, move_phase::reverted},
+        {"over", record_in(move_phase::reverted, 0.0), 5'000, 3, 90, 0.0, false, std::nullopt},
+        {"over, vetoed later", record_in(move_phase::landed, 1.0), 5'000, 3, 90, 0.0, true, std::nullopt},
+    }));
+    CAPTURE(test.name);
+    version_move_input input;
+    input.order = &k_order;
+    input.record = test.record;
+    input.elapsed = milliseconds(test.elapsed_ms);
+    input.time_left = milliseconds(10'000 - test.elapsed_ms);
+    input.targets = test.targets;
+    input.judged_requests = test.judged;
+    input.suspicion = test.suspicion;
+    input.is_vetoed = test.is_vetoed;
+    input.has_excess = test.has_excess;
+    input.requests_per_s = 20.0;
+    const auto next = plan_version_move(input);
+    CHECK(next.has_value() == test.next.has_value());
+    if (next && test.next) {
+        CHECK(next->phase == *test.next);
+        CHECK(next->id == "s@7");
+        CHECK((next->phase == move_phase::growing || next->phase == move_phase::landed || next->share < 0.6));
+    }
+}
+
+struct exposure_case {
+    const char* name;
+    double requests_per_s;
+    double duration_s;
+};
+
+// Guards against a bad version that gets more than is allowed if it is never found out, and against a share
+// from which it cannot be judged.
+TEST_CASE("the share of a version that is judged keeps within what a bad one may get") {
+    const auto test = GENERATE(from_range(std::vector<exposure_case>{
+        {"few long requests", 6.0, 16.0},
+        {"long requests", 21.0, 16.0},
+        {"short move", 21.0, 8.0},
+        {"plain", 277.0, 14.0},
+        {"many", 2'000.0, 30.0},
+    }));
+    CAPTURE(test.name);
+    rollout_order order = k_order;
+    order.duration_s = test.duration_s;
+    auto record = record_in(move_phase::loading, 0.0);
+    version_move_input input;
+    input.order = &order;
+    input.record = record;
+    input.elapsed = milliseconds(1'500);
+    input.time_left = milliseconds(static_cast<std::int64_t>(test.duration_s * 1'000.0)) - input.elapsed;
+    input.targets = 10;
+    input.requests_per_s = test.requests_per_s;
+    const auto next = plan_version_move(input);
+    REQUIRE(next);
+    const double left = std::chrono::duration<double>(input.time_left).count();
+    CHECK(next->share * test.requests_per_s * left <= 0.1 * test.requests_per_s * test.duration_s + 50.0);
+    CHECK(next->share * test.requests_per_s * (test.duration_s / 2 - 1.5) >= 14.0);
+}
+
+struct excess_case {
+    const char* name;
+    evidence_counts counts;
+    bool has_excess;
+};
+
+// Guards against a version that lands with defects which the sequential test has not yet made sure of.
+TEST_CASE("a version with more defects than the usual one is in excess") {
+    const auto test = GENERATE(from_range(std::vector<excess_case>{
+        {"no requests", {0, 0, 0, 0}, false},
+        {"one failure", {10, 1, 0, 0}, false},
+        {"a quarter fails", {40, 10, 0, 0}, true},
+        {"half of few are slow", {6, 0, 4, 0}, true},
+        {"as slow as the usual", {40, 0, 8, 0}, false},
+        {"slow gaps", {40, 0, 0, 9}, true},
+    }));
+    CAPTURE(test.name);
+    evidence_table evidence;
+    evidence.totals[{"s", "", "r"}] = {400, 4, 80, 4};
+    evidence.totals[{"s", "v2", "r"}] = test.counts;
+    evidence.totals[{"s", "v2", "other"}] = {30, 0, 0, 0};
+    evidence.totals[{"s", "v3", "r"}] = {30, 30, 0, 0};
+    CHECK(has_excess(evidence, "s", "v2") == test.has_excess);
+}
+
+struct share_case {
+    const char* name;
+    std::optional<move_record> record;
+    bool is_vetoed;
+    std::int64_t left_ms;
+    double share;
+};
+
+// Guards against a version that gets requests after its veto or its deadline because the store is away.
+TEST_CASE("a process gives a version no share on its own authority") {
+    const auto test = GENERATE(from_range(std::vector<share_case>{
+        {"no record", std::nullopt, false, 5'000, 0.0},
+        {"canary", record_in(move_phase::canary, 0.1), false, 5'000, 0.1},
+        {"vetoed", record_in(move_phase::canary, 0.1), true, 5'000, 0.0},
+        {"deadline", record_in(move_phase::growing, 1.0), false, 0, 0.0},
+        {"landed", record_in(move_phase::landed, 1.0), false, -5'000, 1.0},
+        {"reverted", record_in(move_phase::reverted, 0.0), false, 5'000, 0.0},
+    }));
+    CAPTURE(test.name);
+    CHECK(share_in_force(test.record, test.is_vetoed, milliseconds(test.left_ms)) == test.share);
+}
+
+// Guards against a defect that shows only under load, when few requests are spread over all new targets.
+TEST_CASE("a share goes to as many targets as carry it later") {
+    CHECK(count_canaries(0.1, 80) == 8);
+    CHECK(count_canaries(0.02, 10) == 2);
+    CHECK(count_canaries(0.02, 1) == 1);
+    CHECK(count_canaries(1.0, 3) == 3);
+}
+
+// A process with its moves and the writes that it asks for.
+struct scripted_moves {
+    gateway_moves moves;
+    std::vector<move_write> writes;
+
+    void run(std::int64_t ms) {
+        moves_output output;
+        run_moves(moves, at_ms(ms), wall_ms(ms), output);
+        for (auto& write : output.writes) {
+            writes.push_back(std::move(write));
+        }
+    }
+
+    void hear(std::uint64_t requests, std::uint64_t failures, std::vector<std::string> vetoes = {}) {
+        move_evidence evidence;
+        evidence_message report;
+        report.items.push_back({"s", "v2", "r", requests, failures, 0, 0});
+        report.items.push_back({"s", "", "r", requests * 10, 0, 0, 0});
+        evidence.reports.emplace_back("n1", report);
+        evidence.vetoes = std::move(vetoes);
+        take_evidence(moves, evidence);
+    }
+
+    // The store accepts the last write and the watch brings it.
+    void accept(std::int64_t ms, std::uint64_t revision) {
+        const auto write = writes.back();
+        take_written(moves, {write.service, revision}, at_ms(ms));
+        take_move_record(moves, write.record, revision);
+    }
+};
+
+// Guards against a good version that is not moved to, step by step as the processes do it.
+TEST_CASE("a good version lands before its deadline") {
+    scripted_moves process;
+    process.hear(0, 0);
+    take_order(process.moves, k_order, at_ms(0));
+    process.run(0);
+    REQUIRE(process.writes.size() == 1);
+    CHECK(process.writes[0].expected == 0);
+    process.accept(10, 100);
+    set_ready_targets(process.moves, "s", {"t1", "t2", "t3"});
+    process.run(1'600);
+    REQUIRE(process.writes.size() == 2);
+    CHECK(process.writes[1].record.phase == move_phase::canary);
+    CHECK(process.writes[1].expected == 100);
+    process.accept(1'610, 101);
+    const auto splits = make_splits(process.moves, at_ms(1'700), wall_ms(1'700));
+    CHECK(splits.at("s").canaries.size() == 2);
+    for (std::int64_t ms = 1'700; ms <= 9'000; ms += 250) {
+        process.hear(static_cast<std::uint64_t>(ms / 100), 0);
+        process.run(ms);
+        if (process.writes.back().expected == process.moves.open.at("s").revision) {
+            process.accept(ms, process.moves.open.at("s").revision + 1);
+        }
+    }
+    CHECK(process.moves.open.at("s").record->phase == move_phase::landed);
+    CHECK(make_splits(process.moves, at_ms(9'000), wall_ms(9'000)).at("s").share == 1.0);
+}
+
+// Guards against a bad version that keeps its share while the store cannot be reached.
+TEST_CASE("a bad version loses its share before the store knows") {
+    const bool is_found_elsewhere = GENERATE(true, false);
+    scripted_moves process;
+    process.hear(0, 0);
+    take_order(process.moves, k_order, at_ms(0));
+    take_move_record(process.moves, record_in(move_phase::canary, 0.1), 50);
+    set_ready_targets(process.moves, "s", {"t1", "t2"});
+    std::int64_t ms = 0;
+    for (; ms <= 3'500; ms += 250) {
+        const auto requests = static_cast<std::uint64_t>(ms / 50);
+        process.hear(requests, is_found_elsewhere ? 0 : requests / 2,
+                     is_found_elsewhere && ms >= 3'000 ? std::vector<std::string>{"s@7"}
+                                                       : std::vector<std::string>{});
+        process.run(ms);
+    }
+    const auto split = make_splits(process.moves, at_ms(ms), wall_ms(ms)).at("s");
+    CHECK(split.is_vetoed);
+    CHECK(split.share == 0.0);
+    REQUIRE_FALSE(process.writes.empty());
+    CHECK(process.writes.back().record.phase == move_phase::reverted);
+    CHECK(process.writes.back().expected == 50);
+}
+
+// Guards against a lost write that blocks the move, and against two writes at once.
+TEST_CASE("a write without an answer is repeated under the same condition") {
+    scripted_moves process;
+    process.hear(0, 0);
+    take_order(process.moves, k_order, at_ms(0));
+    process.run(0);
+    process.run(250);
+    REQUIRE(process.writes.size() == 1);
+    take_written(process.moves, {"s", fail(error_kind::store_unavailable, "scripted")}, at_ms(1'000));
+    process.run(1'250);
+    CHECK(process.writes.size() == 1);
+    process.run(1'500);
+    REQUIRE(process.writes.size() == 2);
+    CHECK(process.writes[1].expected == process.writes[0].expected);
+}
+
+// Guards against writes of all processes at once, and against a turn that nobody takes.
+TEST_CASE("a process writes when those before it have not") {
+    scripted_moves process;
+    move_evidence evidence;
+    evidence.turn = 2;
+    take_evidence(process.moves, evidence);
+    take_order(process.moves, k_order, at_ms(0));
+    process.run(0);
+    process.run(750);
+    CHECK(process.writes.empty());
+    process.run(800);
+    CHECK(process.writes.size() == 1);
+}
+
+// Guards against a restarted process that takes the end of a move for its begin, or gives it more time.
+TEST_CASE("a restarted process goes by the record") {
+    scripted_moves process;
+    auto record = record_in(move_phase::canary, 0.1);
+    record.deadline = wall_ms(500);
+    take_move_record(process.moves, record, 50);
+    take_order(process.moves, k_order, at_ms(0));
+    CHECK(make_splits(process.moves, at_ms(0), wall_ms(0)).at("s").share == 0.1);
+    CHECK(make_splits(process.moves, at_ms(600), wall_ms(600)).at("s").share == 0.0);
+    rollout_order later = k_order;
+    later.revision = 70;
+    take_order(process.moves, later, at_ms(700));
+    CHECK_FALSE(process.moves.open.at("s").record.has_value());
+    CHECK(process.moves.open.at("s").revision == 50);
+}
+
+struct side_case {
+    const char* name;
+    double share;
+    bool is_moved;
+};
+
+// Guards against requests at a version that is not judged, and against a second failure there.
+TEST_CASE("a request goes to the side of its share, and its second attempt to the usual one") {
+    const auto test = GENERATE(from_range(std::vector<side_case>{
+        {"held back", 0.0, false},
+        {"all", 1.0, true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 6);
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    auto targets = std::make_shared<std::map<std::string, target_list>>(*view->targets);
+    for (auto& record : targets->at("service")) {
+        record.version = record.id == "t1" || record.id == "t2" ? "v2" : "v1";
+    }
+    view->targets = targets;
+    version_split split;
+    split.move = "service@7";
+    split.version = "v2";
+    split.share = test.share;
+    split.is_judged = true;
+    view->splits["service"] = split;
+    take_view(gateway.traffic, view);
+    gateway.request();
+    const auto first = gateway.attempts.at(0)->order.target_id;
+    CHECK((first == "t1" || first == "t2") == test.is_moved);
+    gateway.attempts.at(0)->events.on_head(fake_gateway::head(500));
+    gateway.attempts.at(0)->events.on_end();
+    REQUIRE(gateway.attempts.size() == 2);
+    const auto second = gateway.attempts[1]->order.target_id;
+    CHECK((second == "t1" || second == "t2") == test.is_moved);
+    const auto report = gateway.traffic.versions.evidence.report();
+    REQUIRE(report.items.size() == 1);
+    CHECK(report.items[0].version == (test.is_moved ? "v2" : ""));
+    CHECK(report.items[0].failures == 1);
+}
+
+// Guards against a canary that fails a request twice, and one whose targets are all gone.
+TEST_CASE("a canary gets one attempt of a request") {
+    const bool has_canary = GENERATE(true, false);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 6);
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    auto targets = std::make_shared<std::map<std::string, target_list>>(*view->targets);
+    for (auto& record : targets->at("service")) {
+        record.version = record.id == "t1" || record.id == "t2" ? "v2" : "v1";
+    }
+    view->targets = targets;
+    version_split split;
+    split.move = "service@7";
+    split.version = "v2";
+    split.share = 0.999'999;
+    split.canaries = {has_canary ? "t1" : "t9"};
+    view->splits["service"] = split;
+    take_view(gateway.traffic, view);
+    gateway.request();
+    const auto first = gateway.attempts.at(0)->order.target_id;
+    CHECK((first == "t1") == has_canary);
+    CHECK(first != "t2");
+    gateway.attempts.at(0)->events.on_failure(attempt_end::broken, "scripted");
+    REQUIRE(gateway.attempts.size() == 2);
+    const auto second = gateway.attempts[1]->order.target_id;
+    CHECK((second != "t1" && second != "t2"));
+}
+
+// Guards against answers that count as slow beside a version whose pace is not known, or not by a wide
+// margin.
+TEST_CASE("slow is what takes several times as long as the usual version") {
+    fake_gateway gateway;
+    auto view = std::make_shared<gateway_view>();
+    version_split split;
+    split.version = "v2";
+    split.is_judged = true;
+    view->splits["s"] = split;
+    take_view(gateway.traffic, view);
+    observe_first(gateway.traffic, {"s", "r", "v2"}, milliseconds(900));
+    for (int i = 0; i < 20; ++i) {
+        observe_first(gateway.traffic, {"s", "r", "v1"}, milliseconds(100));
+    }
+    observe_first(gateway.traffic, {"s", "r", "v2"}, milliseconds(250));
+    observe_first(gateway.traffic, {"s", "r", "v2"}, milliseconds(800));
+    for (const auto& item : gateway.traffic.versions.evidence.report().items) {
+        CHECK(item.requests == (item.version == "v2" ? 3 : 20));
+        CHECK(item.slow_first_tokens == (item.version == "v2" ? 1 : 0));
+    }
+}
+
+} // namespace
+
+} // namespace lovage
