End the split of a landed move some time after it landed

Change: ten seconds after a process knows that a move has landed, all targets of the service may take requests. A reverted move keeps its version out until the order goes. The landing of moves is unchanged.

--- a/include/lovage/control/gateway_moves.h
+++ b/include/lovage/control/gateway_moves.h
@@ -61,6 +61,8 @@
     std::optional<time_point> due_since;
     time_point next_write{};
     bool is_writing = false;
+    /// When this process first knew that the move is over.
+    std::optional<time_point> over_since;
 };
 
 /// Moves of services to other versions. There is no leader: every process judges what it hears and may write
--- a/src/control/gateway_moves.cpp
+++ b/src/control/gateway_moves.cpp
@@ -14,6 +14,8 @@
 // Longest time between two looks at open moves.
 constexpr milliseconds k_look{250};
 constexpr milliseconds k_idle{60'000};
+// Time until the targets that were moved from have stopped, their entries included.
+constexpr milliseconds k_settle_time{10'000};
 
 milliseconds time_left(const gateway_move& move, time_point now, wall_time wall) {
     auto left = std::chrono::duration_cast<milliseconds>(move.deadline - now);
@@ -106,6 +108,12 @@
     return move.record && is_final(move.record->phase);
 }
 
+// All targets of a service that has landed may take requests, so that a later replacement needs no order.
+bool is_settled(const gateway_move& move, time_point now) {
+    return move.record && move.record->phase == move_phase::landed && move.over_since &&
+           now - *move.over_since >= k_settle_time;
+}
+
 void adopt_record(gateway_moves& moves, gateway_move& move) {
     const auto found = moves.records.find(move.order.service);
     if (found == moves.records.end()) {
@@ -187,9 +195,12 @@
     time_point next = now + k_idle;
     for (auto& [service, move] : moves.open) {
         if (is_over(move)) {
+            move.over_since = move.over_since.value_or(now);
+            const auto settled = *move.over_since + k_settle_time;
+            next = settled > now ? std::min(next, settled) : next;
             continue;
         }
-        next = now + k_look;
+        next = std::min(next, now + k_look);
         judge(moves, move, now, output);
         plan(moves, move, now, wall, output);
     }
@@ -199,6 +210,9 @@
 std::map<std::string, version_split> make_splits(const gateway_moves& moves, time_point now, wall_time wall) {
     std::map<std::string, version_split> splits;
     for (const auto& [service, move] : moves.open) {
+        if (is_settled(move, now)) {
+            continue;
+        }
         version_split split;
         split.move = move_id(move.order);
         split.version = move.order.version;
--- a/tests/unit/version_move_test.cpp
+++ b/tests/unit/version_move_test.cpp
@@ -329,6 +329,21 @@
     CHECK(process.moves.open.at("s").revision == 50);
 }
 
+// Guards against targets that get no requests because they replaced those of an earlier move without an
+// order.
+TEST_CASE("a landed move ends some time after it landed, a reverted one with its order") {
+    const auto phase = GENERATE(move_phase::landed, move_phase::reverted);
+    scripted_moves process;
+    take_order(process.moves, k_order, at_ms(0));
+    take_move_record(process.moves, record_in(phase, phase == move_phase::landed ? 1.0 : 0.0), 50);
+    process.run(100);
+    CHECK(make_splits(process.moves, at_ms(9'000), wall_ms(9'000)).count("s") == 1);
+    const auto later = make_splits(process.moves, at_ms(10'100), wall_ms(10'100));
+    CHECK(later.count("s") == (phase == move_phase::landed ? 0 : 1));
+    drop_order(process.moves, "s");
+    CHECK(make_splits(process.moves, at_ms(9'000), wall_ms(9'000)).empty());
+}
+
 struct side_case {
     const char* name;
     double share;
