--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -77,6 +77,8 @@
     std::unique_ptr<peer_report_udp> m_peers;
     std::unique_ptr<gateway_control> m_control;
     bool m_was_ready = false;
+    /// The control thread gets evidence of versions from time to time.
+    bool m_is_posting = false;
 };
 
 gateway_process::gateway_process(const gateway_settings& settings) : m_settings(settings) {
@@ -140,6 +142,9 @@
             if (m_traffic.view->table && m_traffic.view->targets) {
                 m_callers->accept();
             }
+            if (!m_is_posting) {
+                post_evidence();
+            }
         });
     };
     ports.log = [](const belief_log& line) { log_event(line.level, line.event, line.fields); };
@@ -205,7 +210,6 @@
         }
     });
     m_control = gateway_control::start(make_control_ports());
-    post_evidence();
     wait_for_signal();
     log_event(log_level::info, "started",
               {{"node", m_settings.node},
@@ -241,7 +245,11 @@
 }
 
 void gateway_process::post_evidence() {
-    if (is_judging(m_traffic) && !m_control->post(collect_evidence(m_traffic))) {
+    m_is_posting = is_judging(m_traffic);
+    if (!m_is_posting) {
+        return;
+    }
+    if (!m_control->post(collect_evidence(m_traffic))) {
         log_event(log_level::warning, "evidence_dropped", {{"detail", "the control thread is busy"}});
     }
     m_evidence_timer.expires_after(k_evidence_pause);
--- a/tests/unit/version_move_test.cpp
+++ b/tests/unit/version_move_test.cpp
@@ -3,6 +3,7 @@
 #include "support/fake_gateway.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -344,6 +345,25 @@
     CHECK(make_splits(process.moves, at_ms(9'000), wall_ms(9'000)).empty());
 }
 
+// Publishes six targets, "t1" and "t2" of version "v2", and a move to it with `share`.
+void publish_move(fake_gateway& gateway, double share, std::set<std::string> canaries) {
+    gateway.publish(request_kind::idempotent, 2, 6);
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    auto targets = std::make_shared<std::map<std::string, target_list>>(*view->targets);
+    for (auto& record : targets->at("service")) {
+        record.version = record.id == "t1" || record.id == "t2" ? "v2" : "v1";
+    }
+    view->targets = targets;
+    version_split split;
+    split.move = "service@7";
+    split.version = "v2";
+    split.share = share;
+    split.canaries = std::move(canaries);
+    split.is_judged = true;
+    view->splits["service"] = split;
+    take_view(gateway.traffic, view);
+}
+
 struct side_case {
     const char* name;
     double share;
@@ -358,20 +378,7 @@
     }));
     CAPTURE(test.name);
     fake_gateway gateway;
-    gateway.publish(request_kind::idempotent, 2, 6);
-    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
-    auto targets = std::make_shared<std::map<std::string, target_list>>(*view->targets);
-    for (auto& record : targets->at("service")) {
-        record.version = record.id == "t1" || record.id == "t2" ? "v2" : "v1";
-    }
-    view->targets = targets;
-    version_split split;
-    split.move = "service@7";
-    split.version = "v2";
-    split.share = test.share;
-    split.is_judged = true;
-    view->splits["service"] = split;
-    take_view(gateway.traffic, view);
+    publish_move(gateway, test.share, {});
     gateway.request();
     const auto first = gateway.attempts.at(0)->order.target_id;
     CHECK((first == "t1" || first == "t2") == test.is_moved);
@@ -390,20 +397,7 @@
 TEST_CASE("a canary gets one attempt of a request") {
     const bool has_canary = GENERATE(true, false);
     fake_gateway gateway;
-    gateway.publish(request_kind::idempotent, 2, 6);
-    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
-    auto targets = std::make_shared<std::map<std::string, target_list>>(*view->targets);
-    for (auto& record : targets->at("service")) {
-        record.version = record.id == "t1" || record.id == "t2" ? "v2" : "v1";
-    }
-    view->targets = targets;
-    version_split split;
-    split.move = "service@7";
-    split.version = "v2";
-    split.share = 0.999'999;
-    split.canaries = {has_canary ? "t1" : "t9"};
-    view->splits["service"] = split;
-    take_view(gateway.traffic, view);
+    publish_move(gateway, 0.999'999, {has_canary ? "t1" : "t9"});
     gateway.request();
     const auto first = gateway.attempts.at(0)->order.target_id;
     CHECK((first == "t1") == has_canary);
