Report a target as unreachable only while nothing was written to it

What callers saw: a lodgement or a publication ran at two targets (TWICE).

Cause: the traffic thread was held up for longer than connect_timeout (250 ms) while a configuration with 1,400 more routes was applied. The completion of the connect and the expiry of its timer were then both queued. The first wrote the request and cancelled the timer, which has no effect on a queued handler; the second ended the attempt as `unreachable`. That end states that nothing was sent, so the plan sent the request to a second target.

Ruled out by the record: a refusal read as this request's, and a reset at the connection limit; neither needs a delay, and neither cuts the first run.

Change: an exchange has a phase, and the end of a failed attempt follows from the phase alone: unreachable while connecting, broken from the first byte on. No caller of fail() states the end itself any more. The connect timer does nothing once the exchange has left `connecting`, so a connect that was slow only because the thread was busy is used, and the target gets no false failure.

Conclusion: whether a request may be repeated no longer depends on the order in which handlers run.

--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -84,24 +84,25 @@
     const auto parsed = parse_endpoint(m_options.address);
     if (!parsed) {
         asio::post(m_io, [self = shared_from_this()] {
-            self->fail(attempt_end::unreachable, "invalid target address: " + self->m_options.address);
+            self->fail("invalid target address: " + self->m_options.address);
         });
         return;
     }
     const tcp::endpoint endpoint(asio::ip::make_address_v4(parsed->ip), parsed->port);
     m_connect_timer.expires_after(timeout);
     m_connect_timer.async_wait([self = shared_from_this()](const error_code& cancelled) {
-        if (!cancelled) {
-            self->fail(attempt_end::unreachable, "connect timed out");
+        // The expiry may be queued behind the completion of the connect.
+        if (!cancelled && self->m_phase == exchange_phase::connecting) {
+            self->fail("connect timed out");
         }
     });
     m_connection->socket.async_connect(endpoint, [self = shared_from_this()](const error_code& failure) {
-        if (self->m_is_finished) {
+        if (self->is_finished()) {
             return;
         }
         self->m_connect_timer.cancel();
         if (failure) {
-            self->fail(attempt_end::unreachable, failure.message());
+            self->fail(failure.message());
             return;
         }
         set_options(self->m_connection->socket);
@@ -110,6 +111,7 @@
 }
 
 void target_exchange::write() {
+    m_phase = exchange_phase::exchanging;
     m_head_text = head_text(*m_request, m_codec.encode_attempt(*m_request, m_options));
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head_text), asio::buffer(m_request->body)};
     asio::async_write(m_connection->socket, buffers,
@@ -129,11 +131,11 @@
     m_parser->skip(m_request->method == "HEAD");
     http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser,
                             [self = shared_from_this()](const error_code& failure, std::size_t /*bytes*/) {
-                                if (self->m_is_finished) {
+                                if (self->is_finished()) {
                                     return;
                                 }
                                 if (failure) {
-                                    self->fail(attempt_end::broken, failure.message());
+                                    self->fail(failure.message());
                                     return;
                                 }
                                 self->handle_head();
@@ -144,7 +146,7 @@
     const auto& message = m_parser->get();
     if (message.result_int() < 200) {
         if (++m_informational_heads > k_max_informational_heads) {
-            fail(attempt_end::broken, "too many informational responses");
+            fail("too many informational responses");
             return;
         }
         read_head();
@@ -154,7 +156,7 @@
         m_codec.decode_answer(static_cast<int>(message.result_int()), std::string(message.reason()),
                               end_to_end_fields(message), *m_request);
     m_events.on_head(head);
-    if (!m_is_finished) {
+    if (!is_finished()) {
         read_body();
     }
 }
@@ -173,7 +175,7 @@
     http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser,
                           [self = shared_from_this()](const error_code& failure, std::size_t /*bytes*/) {
                               self->m_is_reading = false;
-                              if (!self->m_is_finished) {
+                              if (!self->is_finished()) {
                                   self->handle_body(failure);
                               }
                           });
@@ -183,19 +185,19 @@
     const std::size_t size = m_body_part.size() - m_parser->get().body().size;
     if (size > 0) {
         m_events.on_body(std::string_view(m_body_part.data(), size));
-        if (m_is_finished) {
+        if (is_finished()) {
             return;
         }
     }
     if (failure && failure != http::error::need_buffer) {
-        fail(attempt_end::broken, failure.message());
+        fail(failure.message());
         return;
     }
     read_body();
 }
 
 void target_exchange::handle_end() {
-    m_is_finished = true;
+    m_phase = exchange_phase::finished;
     const bool is_reusable = m_parser->keep_alive() && m_is_request_sent && m_connection->buffer.size() == 0;
     if (is_reusable) {
         m_release(std::move(m_connection));
@@ -207,10 +209,12 @@
     std::exchange(m_events, {}).on_end();
 }
 
-void target_exchange::fail(attempt_end end, const std::string& detail) {
-    if (std::exchange(m_is_finished, true)) {
+void target_exchange::fail(const std::string& detail) {
+    const auto phase = std::exchange(m_phase, exchange_phase::finished);
+    if (phase == exchange_phase::finished) {
         return;
     }
+    const auto end = phase == exchange_phase::connecting ? attempt_end::unreachable : attempt_end::broken;
     m_connect_timer.cancel();
     error_code ignored;
     m_connection->socket.close(ignored);
@@ -218,7 +222,7 @@
 }
 
 void target_exchange::cancel() {
-    if (std::exchange(m_is_finished, true)) {
+    if (std::exchange(m_phase, exchange_phase::finished) == exchange_phase::finished) {
         return;
     }
     m_connect_timer.cancel();
@@ -231,7 +235,7 @@
 
 void target_exchange::pause(bool paused) {
     m_is_paused = paused;
-    if (!paused && !m_is_reading && !m_is_finished) {
+    if (!paused && !m_is_reading && !is_finished()) {
         read_body();
     }
 }
--- a/src/adapters/gateway/target_exchange.h
+++ b/src/adapters/gateway/target_exchange.h
@@ -2,6 +2,7 @@
 
 #include "target_connection.h"
 
+#include "lovage/core/enum_names.h"
 #include "lovage/ports/request_codec.h"
 #include "lovage/ports/target_port.h"
 
@@ -10,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -17,6 +19,14 @@
 
 namespace lovage {
 
+/// The progress of a `target_exchange`. Only while it is `connecting` is it certain that the target has
+/// received nothing.
+enum class exchange_phase : std::uint8_t { connecting, exchanging, finished };
+inline constexpr std::size_t k_exchange_phase_count = 3;
+inline constexpr enum_names<k_exchange_phase_count> k_exchange_phase_names{"connecting", "exchanging",
+                                                                           "finished"};
+static_assert(static_cast<std::size_t>(exchange_phase::finished) + 1 == k_exchange_phase_count);
+
 /// Sends one request to a target and reads its response.
 class target_exchange : public std::enable_shared_from_this<target_exchange> {
 public:
@@ -46,7 +56,9 @@
     void read_body();
     void handle_body(const boost::system::error_code& failure);
     void handle_end();
-    void fail(attempt_end end, const std::string& detail);
+    /// Ends the exchange; its phase decides whether the target counts as unreachable.
+    void fail(const std::string& detail);
+    bool is_finished() const { return m_phase == exchange_phase::finished; }
 
     boost::asio::io_context& m_io;
     const request_codec& m_codec;
@@ -59,11 +71,11 @@
     std::string m_head_text;
     std::optional<parser_type> m_parser;
     std::array<char, k_max_body_part_bytes> m_body_part{};
+    exchange_phase m_phase = exchange_phase::connecting;
     int m_informational_heads = 0;
     bool m_is_request_sent = false;
     bool m_is_reading = false;
     bool m_is_paused = false;
-    bool m_is_finished = false;
 };
 
 } // namespace lovage
--- a/tests/unit/target_pool_test.cpp
+++ b/tests/unit/target_pool_test.cpp
@@ -97,7 +97,7 @@
 // Guards against a request that runs twice because an attempt whose request was sent is reported as
 // unreachable: the expiry of the connect timer is queued behind the completion of the connect while the
 // thread is held up.
-TEST_CASE("an attempt whose request was sent is not reported as unreachable", "[.known-red]") {
+TEST_CASE("an attempt whose request was sent is not reported as unreachable") {
     const auto test = GENERATE(from_range(std::vector<stall_case>{
         {"no stall", milliseconds(0), true},
         {"stall longer than the connect timeout", k_connect_timeout * 3, true},
