Keep to the cancellation of timers whose expiry is queued

What callers could see: a generation that waited for an engine is started, and then answered `overloaded`, not run, while it runs; the caller comes back and the generation runs twice.

Cause: the timer port promised that a cancelled timer does not fire, but steady_timer::cancel has no effect on a wait that has completed and whose handler is queued. That is the normal case after the thread was held up. Users that cancel and rely on it: the wait for an engine's memory, the wait for the first event, the connect timer.

Change: one_shot_timer counts its starts, and a completion of an earlier start is ignored. The timer port and the connect timer use it; the port moves out of the program, so that it can be tested.

Conclusion: code above the port may rely on cancellation.

--- a/include/lovage/ports/timer_port.h
+++ b/include/lovage/ports/timer_port.h
@@ -6,7 +6,8 @@
 
 namespace lovage {
 
-/// Cancels a timer; has no effect after the timer has fired.
+/// Cancels a timer: its callback is not called any more, even if the timer has expired meanwhile. Has no
+/// effect after the callback was called.
 using timer_cancel = std::function<void()>;
 
 /// Clock and timers of the traffic thread; tests replace them by simulated time.
--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -66,7 +66,7 @@
                                  std::shared_ptr<const forwarded_request> request, attempt_parameters options,
                                  attempt_events events, release_connection release)
     : m_io(io), m_codec(codec), m_request(std::move(request)), m_options(std::move(options)),
-      m_events(std::move(events)), m_release(std::move(release)), m_connect_timer(io) {}
+      m_events(std::move(events)), m_release(std::move(release)), m_connect_timer(io.get_executor()) {}
 
 void target_exchange::start(std::unique_ptr<target_connection> idle_connection,
                             milliseconds connect_timeout) {
@@ -89,13 +89,7 @@
         return;
     }
     const tcp::endpoint endpoint(asio::ip::make_address_v4(parsed->ip), parsed->port);
-    m_connect_timer.expires_after(timeout);
-    m_connect_timer.async_wait([self = shared_from_this()](const error_code& cancelled) {
-        // The expiry may be queued behind the completion of the connect.
-        if (!cancelled && self->m_phase == exchange_phase::connecting) {
-            self->fail("connect timed out");
-        }
-    });
+    m_connect_timer.start(timeout, [self = shared_from_this()] { self->fail("connect timed out"); });
     m_connection->socket.async_connect(endpoint, [self = shared_from_this()](const error_code& failure) {
         if (self->is_finished()) {
             return;
--- a/src/adapters/gateway/target_exchange.h
+++ b/src/adapters/gateway/target_exchange.h
@@ -2,13 +2,13 @@
 
 #include "target_connection.h"
 
+#include "lovage/adapters/gateway/one_shot_timer.h"
 #include "lovage/core/enum_names.h"
 #include "lovage/ports/request_codec.h"
 #include "lovage/ports/target_port.h"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
@@ -66,7 +66,7 @@
     attempt_parameters m_options;
     attempt_events m_events;
     release_connection m_release;
-    boost::asio::steady_timer m_connect_timer;
+    one_shot_timer m_connect_timer;
     std::unique_ptr<target_connection> m_connection;
     std::string m_head_text;
     std::optional<parser_type> m_parser;
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include "store_kv.h"
 
 #include "lovage/adapters/gateway/caller_server.h"
+#include "lovage/adapters/gateway/one_shot_timer.h"
 #include "lovage/adapters/gateway/peer_report_udp.h"
 #include "lovage/adapters/gateway/status_server.h"
 #include "lovage/adapters/gateway/target_pool.h"
@@ -51,7 +52,6 @@
 private:
     result<void> start_peers();
     gateway_control_ports make_control_ports();
-    timer_port make_timers();
     decision_sink make_sink();
     status_page page(const std::string& path);
     bool is_ready() const;
@@ -91,31 +91,12 @@
     m_traffic.options.max_key_staleness = settings.max_key_staleness;
     m_traffic.targets = m_pool->port();
     m_traffic.engine = m_codec.engine;
-    m_traffic.timers = make_timers();
+    m_traffic.timers = make_timer_port(m_io);
     m_traffic.sink = make_sink();
     m_traffic.boot_clock = boot_now;
     m_traffic.random.seed(std::random_device{}());
 }
 
-timer_port gateway_process::make_timers() {
-    timer_port timers;
-    timers.now = monotonic_now;
-    timers.after = [this](milliseconds delay, std::function<void()> callback) {
-        const auto timer = std::make_shared<asio::steady_timer>(m_io, delay);
-        timer->async_wait([timer, callback = std::move(callback)](const error_code& cancelled) {
-            if (!cancelled) {
-                callback();
-            }
-        });
-        return timer_cancel([weak = std::weak_ptr<asio::steady_timer>(timer)] {
-            if (const auto alive = weak.lock()) {
-                alive->cancel();
-            }
-        });
-    };
-    return timers;
-}
-
 decision_sink gateway_process::make_sink() {
     decision_sink sink;
     sink.log = log_event;
