Do not end a connection by an idle timer that was started anew

What callers saw: a request whose first bytes arrived while the process was busy for longer than the idle timeout was answered 408, or its connection was closed.

Cause: the session starts one timer anew for each phase. An expiry of the idle timeout that was queued behind the read of the first bytes was taken for the expiry of the header timeout.

Change: the session uses one_shot_timer.

Conclusion: the timers of callers' connections keep to their phase.

--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -94,11 +94,9 @@
 }
 
 void caller_session::arm_timer(milliseconds delay) {
-    m_timer.expires_after(delay);
-    m_timer.async_wait([weak = weak_from_this()](const error_code& cancelled) {
+    m_timer.start(delay, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (cancelled || !self || self->m_phase == session_phase::serving ||
-            self->m_phase == session_phase::closed) {
+        if (!self || self->m_phase == session_phase::serving || self->m_phase == session_phase::closed) {
             return;
         }
         if (self->m_phase == session_phase::reading && self->m_has_request_bytes) {
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "lovage/adapters/gateway/one_shot_timer.h"
 #include "lovage/core/enum_names.h"
 #include "lovage/ports/request_codec.h"
 #include "lovage/traffic/gateway_traffic.h"
 #include "lovage/traffic/proxied_request.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -67,7 +67,7 @@
     boost::asio::ip::tcp::socket m_socket;
     session_host& m_host;
     std::function<void(caller_session*)> m_on_closed;
-    boost::asio::steady_timer m_timer;
+    one_shot_timer m_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<parser_type> m_parser;
     std::shared_ptr<proxied_request> m_request;
--- /dev/null
+++ b/tests/unit/caller_server_test.cpp
@@ -0,0 +1,109 @@
+#include "lovage/adapters/gateway/caller_server.h"
+
+#include "request_codec.h"
+#include "support/fake_gateway.h"
+#include "support/free_port.h"
+
+#include "lovage/adapters/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lovage {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using testing::fake_gateway;
+using tcp = asio::ip::tcp;
+
+constexpr milliseconds k_idle_timeout{60};
+constexpr const char* k_head_start = "GET /r/x HTTP/1.1\r\nHost: host\r\n";
+constexpr const char* k_head_end = "Request-Id: id\r\nAuthorization: Bearer key\r\n\r\n";
+
+/// A `caller_server` on loopback with one connected caller; targets are played by the test.
+class caller_fixture {
+public:
+    caller_fixture() {
+        m_gateway.publish(request_kind::idempotent, 2, 3);
+        auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
+        auto table = std::make_shared<route_table>(*view->table);
+        table->limits.idle_timeout = k_idle_timeout;
+        index_routes(*table);
+        view->table = table;
+        apply_view(m_gateway.traffic, view);
+        const auto address = free_address();
+        const auto endpoint = parse_endpoint(address);
+        auto started = caller_server::start(m_io, {endpoint->ip, endpoint->port, 10},
+                                            platform::make_request_codec(), m_gateway.traffic);
+        REQUIRE(started);
+        m_server = std::move(*started);
+        m_server->accept();
+        m_caller.connect({asio::ip::make_address(endpoint->ip), endpoint->port});
+        m_caller.non_blocking(true);
+        run(milliseconds(10));
+    }
+    ~caller_fixture() {
+        m_caller.close();
+        m_server->close_idle();
+        run(milliseconds(20));
+    }
+    caller_fixture(const caller_fixture&) = delete;
+    caller_fixture& operator=(const caller_fixture&) = delete;
+
+    void run(milliseconds time) {
+        m_io.restart();
+        m_io.run_for(time);
+    }
+    void send(const std::string& text) { asio::write(m_caller, asio::buffer(text)); }
+    /// What the caller has received so far; "closed" is added once the server has closed the connection.
+    std::string received() {
+        std::string bytes(4'096, '\0');
+        error_code failure;
+        const auto size = m_caller.read_some(asio::buffer(bytes), failure);
+        bytes.resize(size);
+        return failure && failure != asio::error::would_block ? bytes + "closed" : bytes;
+    }
+    fake_gateway& gateway() { return m_gateway; }
+
+private:
+    asio::io_context m_io;
+    fake_gateway m_gateway;
+    std::unique_ptr<caller_server> m_server;
+    tcp::socket m_caller{m_io};
+};
+
+struct idle_case {
+    const char* name;
+    /// What the caller sends while the thread is held up for longer than the idle timeout.
+    std::string sent;
+    std::size_t attempts;
+    std::string received;
+};
+
+// Guards against a request that is refused with 408 or cut because the idle timer of its connection expired
+// while the thread was held up, although the request had arrived.
+TEST_CASE("a request that arrives while the thread is held up is not taken for an idle connection") {
+    const auto test = GENERATE(from_range(std::vector<idle_case>{
+        {"nothing", "", 0, "closed"},
+        {"a part of a head", k_head_start, 0, ""},
+        {"a whole request", std::string(k_head_start) + k_head_end, 1, ""},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(test.sent);
+    std::this_thread::sleep_for(k_idle_timeout * 2);
+    fixture.run(milliseconds(20));
+    CHECK(fixture.received() == test.received);
+    CHECK(fixture.gateway().attempts.size() == test.attempts);
+}
+
+} // namespace
+
+} // namespace lovage
