Never state "not run" while an attempt is in progress

What callers could see: 503, not run, for a request that a target was running (REFUSED); the target went on working and its load was never released.

Cause: refuse() judged by the number of ended attempts alone.

Change: refuse() itself ends and counts the attempt in progress.

Evidence: the new test lets a cancelled timer fire: before, "not run", the attempt left running and one request too many in the target's load (3 of 6 assertions fail); after, all pass.

Conclusion: the statement follows from the request's state, whoever refuses.

--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -306,6 +306,11 @@
 }
 
 void proxied_request::refuse(error_kind kind, const std::string& detail) {
+    if (m_attempt) {
+        // The target may have started on the request.
+        ++m_runs;
+        cancel_attempt();
+    }
     const auto& properties = error_properties_of(kind);
     if (m_has_response_started) {
         m_caller.break_off();
@@ -352,10 +357,6 @@
     if (m_is_done) {
         return;
     }
-    if (m_attempt) {
-        ++m_runs;
-        cancel_attempt();
-    }
     refuse(error_kind::deadline_exceeded, "no whole answer in time");
 }
 
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -40,7 +40,11 @@
         traffic.timers.after = [this](milliseconds delay, std::function<void()> callback) {
             const auto id = ++m_last_timer_id;
             m_timers[{now + delay, id}] = std::move(callback);
-            return timer_cancel([this, key = std::pair(now + delay, id)] { m_timers.erase(key); });
+            return timer_cancel([this, key = std::pair(now + delay, id)] {
+                if (!ignores_cancellation) {
+                    m_timers.erase(key);
+                }
+            });
         };
         traffic.targets.open = [this](auto request, attempt_parameters options, attempt_events events) {
             auto attempt = std::make_shared<fake_attempt>(
@@ -162,6 +166,8 @@
     static constexpr std::uint64_t k_engine_tokens = 88'000;
     static constexpr std::uint64_t k_request_tokens = 9'000;
 
+    /// Whether timers fire although they were cancelled, as a port that breaks its contract would let them.
+    bool ignores_cancellation = false;
     std::uint64_t max_output_tokens = 1'000;
     time_point now{std::chrono::seconds(100)};
     boot_time boot{0};
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -228,6 +228,26 @@
     CHECK(gateway.traffic.requests.empty());
 }
 
+// Guards against "not run" for a generation that runs, when the end of its wait for an engine comes late.
+TEST_CASE("an error answer while an attempt is in progress ends it and does not state that it was not run") {
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 1);
+    auto& usage = gateway.traffic.usage["t1"];
+    usage.memory_tokens = fake_gateway::k_engine_tokens;
+    gateway.ignores_cancellation = true;
+    const auto request = gateway.request();
+    REQUIRE(gateway.attempts.empty());
+    usage.memory_tokens = 0;
+    schedule_dispatch(gateway.traffic, "service");
+    gateway.advance(milliseconds(600));
+    REQUIRE(gateway.attempts.size() == 1);
+    gateway.advance(milliseconds(2'500));
+    REQUIRE(gateway.caller.replies.size() == 1);
+    CHECK_FALSE(gateway.caller.replies[0].is_not_run);
+    CHECK(gateway.attempts[0]->is_cancelled);
+    CHECK(usage.in_flight == 0);
+}
+
 struct bad_answer_case {
     const char* name;
     int status;
