Quarantine prompts that crash their engines

Cause: the plan of retries looks at the failed target only. A request whose prompt ends its engine is sent to the next ones, up to the limit of its route, and again when its caller comes back; nothing connects the crashes of different requests. Ruled out from the log: repeats at engines that came back under a new id.

Change: core/prompt_quarantine infers the parts to blame from crashes at different moments and clears parts that were generated from since; processes share crashes and clearances in their reports.

--- a/include/lovage/core/attempt_plan.h
+++ b/include/lovage/core/attempt_plan.h
@@ -52,6 +52,8 @@
     bool has_budget = true;
     /// A target is left to send to.
     bool has_target = true;
+    /// The prompt has crashed its engines.
+    bool is_quarantined = false;
 };
 
 /// What the gateway does with a request after an attempt ended.
--- a/include/lovage/core/error_kind.h
+++ b/include/lovage/core/error_kind.h
@@ -37,10 +37,12 @@
     unauthenticated,
     history_lost,
     outcome_late,
+    /// The prompt contains parts that have crashed several engines.
+    prompt_quarantined,
     internal,
 };
 
-inline constexpr std::size_t k_error_kind_count = 28;
+inline constexpr std::size_t k_error_kind_count = 29;
 
 inline constexpr enum_names<k_error_kind_count> k_error_kind_names{
     "invalid_request",
@@ -70,6 +72,7 @@
     "unauthenticated",
     "history_lost",
     "outcome_late",
+    "prompt_quarantined",
     "internal",
 };
 static_assert(static_cast<std::size_t>(error_kind::internal) + 1 == k_error_kind_count);
--- a/include/lovage/core/peer_report.h
+++ b/include/lovage/core/peer_report.h
@@ -33,6 +33,21 @@
     std::uint64_t number = 0;
 };
 
+/// A `prompt_crash` that the sender knows of; `age` is the time since then.
+struct peer_prompt_crash {
+    std::uint64_t id = 0;
+    std::string service;
+    std::string target_id;
+    std::vector<std::string> parts;
+    milliseconds age{0};
+};
+
+/// A `part_success` that the sender knows of; `age` is the time since then.
+struct peer_part_success {
+    std::string part;
+    milliseconds age{0};
+};
+
 /// Report that each process sends to the others. Delivery is best effort; correctness doesn't depend on it.
 struct peer_report {
     std::string node;
@@ -50,6 +65,8 @@
     /// Cumulative evidence on versions since the sender's start, and the ids of vetoed moves that it knows.
     std::vector<route_evidence> evidence;
     std::vector<std::string> vetoes;
+    std::vector<peer_prompt_crash> crashes;
+    std::vector<peer_part_success> successes;
     /// Addresses of other processes from which the sender receives reports.
     std::vector<std::string> peers;
 };
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -2,6 +2,7 @@
 
 #include "lovage/control/gateway_view.h"
 #include "lovage/core/log_level.h"
+#include "lovage/core/prompt_quarantine.h"
 #include "lovage/core/retry_window.h"
 #include "lovage/core/shutdown_plan.h"
 #include "lovage/core/target_choice.h"
@@ -68,6 +69,7 @@
     /// Recent failures by service and zone.
     std::map<std::pair<std::string, std::string>, zone_failures> zones;
     peer_exchange peers;
+    prompt_quarantine quarantine;
     version_observer versions;
     /// When the stop signal arrived.
     std::optional<time_point> shutdown_requested_at;
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -80,6 +80,8 @@
         attempt_handle handle;
         bool has_head = false;
         bool has_event = false;
+        /// Whether the connection to the target ended without a complete response.
+        bool is_connection_lost = false;
         /// Whether it has been counted as slow.
         bool is_overdue = false;
         time_point first_event{};
@@ -110,6 +112,7 @@
     void wait_for_engine(milliseconds patience);
     void refuse_for_lack_of_memory();
     bool may_start() const;
+    bool is_quarantined() const;
     bool has_previous_answer() const;
     void find_cached_prompt();
     void handle_cached_parts(const std::string& target_id, const std::vector<prompt_part>& cached);
@@ -136,6 +139,7 @@
     attempt take_attempt();
     void release_target(const attempt& ended);
     void record_health(const attempt& ended, attempt_end end);
+    void record_crash_of(const attempt& ended);
     bool can_fail_over();
     void cancel_attempt();
     void execute_next_step(attempt_end end, const std::string& detail);
--- a/src/adapters/gateway/peer_report_udp.cpp
+++ b/src/adapters/gateway/peer_report_udp.cpp
@@ -60,21 +60,42 @@
     return failure;
 }
 
+json to_json(const peer_prompt_crash& crash) {
+    return json::array({crash.id, crash.service, crash.target_id, crash.parts, crash.age.count()});
+}
+
+json to_json(const peer_part_success& success) {
+    return json::array({success.part, success.age.count()});
+}
+
+peer_prompt_crash crash_of(const json& row) {
+    return {row.at(0).get<std::uint64_t>(), row.at(1).get<std::string>(), row.at(2).get<std::string>(),
+            row.at(3).get<std::vector<std::string>>(), milliseconds(row.at(4).get<milliseconds::rep>())};
+}
+
+peer_part_success success_of(const json& row) {
+    return {row.at(0).get<std::string>(), milliseconds(row.at(1).get<milliseconds::rep>())};
+}
+
+template <class Items>
+json to_list(const Items& items) {
+    auto list = json::array();
+    for (const auto& item : items) {
+        list.push_back(to_json(item));
+    }
+    return list;
+}
+
 } // namespace
 
 std::string encode_report(const peer_report& report) {
-    json document{{"n", report.node},    {"b", report.started_ms},   {"s", report.sequence},
-                  {"a", report.address}, {"u", json::array()},       {"t", json::array()},
-                  {"p", report.peers},   {"l", report.is_leaving},   {"e", json::array()},
+    json document{{"n", report.node},    {"b", report.started_ms},     {"s", report.sequence},
+                  {"a", report.address}, {"u", to_list(report.usage)}, {"t", to_list(report.target_failures)},
+                  {"p", report.peers},   {"l", report.is_leaving},     {"e", to_list(report.evidence)},
                   {"v", report.vetoes},  {"r", report.newest_change}};
-    for (const auto& usage : report.usage) {
-        document["u"].push_back(to_json(usage));
-    }
-    for (const auto& failure : report.target_failures) {
-        document["t"].push_back(to_json(failure));
-    }
-    for (const auto& evidence : report.evidence) {
-        document["e"].push_back(to_json(evidence));
+    if (!report.crashes.empty()) {
+        document["c"] = to_list(report.crashes);
+        document["o"] = to_list(report.successes);
     }
     const auto bytes = json::to_cbor(document);
     return {bytes.begin(), bytes.end()};
@@ -96,7 +117,11 @@
         const auto& target_failures = document.at("t");
         const auto& evidence = document.at("e");
         report.vetoes = document.at("v").get<std::vector<std::string>>();
-        if (usage.size() > k_max_entries || target_failures.size() > k_max_entries ||
+        // Processes of earlier versions do not send them, and reports without crashes have neither.
+        const auto crashes = document.value("c", json::array());
+        const auto successes = document.value("o", json::array());
+        if (crashes.size() > k_max_entries || successes.size() > k_max_entries ||
+            usage.size() > k_max_entries || target_failures.size() > k_max_entries ||
             evidence.size() > k_max_entries || report.vetoes.size() > k_max_entries ||
             report.peers.size() > k_max_entries) {
             return std::nullopt;
@@ -105,6 +130,8 @@
         std::transform(target_failures.begin(), target_failures.end(),
                        std::back_inserter(report.target_failures), failure_of);
         std::transform(evidence.begin(), evidence.end(), std::back_inserter(report.evidence), evidence_of);
+        std::transform(crashes.begin(), crashes.end(), std::back_inserter(report.crashes), crash_of);
+        std::transform(successes.begin(), successes.end(), std::back_inserter(report.successes), success_of);
         return report;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/core/attempt_plan.cpp
+++ b/src/core/attempt_plan.cpp
@@ -19,7 +19,7 @@
 next_step plan_next_step(const attempt_outcome& facts) {
     const bool can_repeat = facts.runs == 0 || facts.is_repeatable;
     const bool can_continue = !facts.has_delivered || (facts.is_repeatable && facts.is_continuable);
-    if (!can_repeat || !can_continue || !facts.has_time || !facts.has_budget ||
+    if (!can_repeat || !can_continue || !facts.has_time || !facts.has_budget || facts.is_quarantined ||
         facts.sends >= k_max_sends_without_run + facts.max_attempts) {
         return choose_final_step(facts);
     }
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "lovage/core/report_plan.h"
 #include "lovage/traffic/gateway_traffic.h"
+#include "lovage/traffic/prompt_crashes.h"
 
 #include <algorithm>
 #include <iterator>
@@ -105,6 +106,7 @@
         }
     }
     limit_items(traffic, report.vetoes, k_max_vetoes, "vetoes");
+    add_prompt_crashes(traffic, report);
     report.peers = sample_addresses(traffic, address_limit);
     return report;
 }
@@ -250,6 +252,7 @@
     if (!was_live && exchange.port.send && peer.report.peers.size() < k_max_peers) {
         exchange.port.send(peer.report.address, make_report(traffic, k_max_welcome_peers));
     }
+    apply_prompt_crashes(traffic, peer.report);
     for (const auto& failure : new_failures) {
         apply_peer_failure(traffic, failure);
     }
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -1,6 +1,7 @@
 #include "proxied_helpers.h"
 
 #include "lovage/traffic/engine_calls.h"
+#include "lovage/traffic/prompt_crashes.h"
 #include "lovage/traffic/proxied_request.h"
 
 #include <algorithm>
@@ -36,6 +37,7 @@
     events.on_body = guarded([](proxied_request& self, std::string_view bytes) { self.handle_body(bytes); });
     events.on_end = guarded([](proxied_request& self) { self.handle_end(); });
     events.on_failure = guarded([](proxied_request& self, attempt_end end, const std::string& detail) {
+        self.m_attempt->is_connection_lost = end == attempt_end::broken;
         self.end_attempt(end, detail);
     });
     return events;
@@ -166,7 +168,11 @@
         if (!current.from_copy && !current.is_overdue) {
             observe_first_event(m_traffic, observed(current), current.first_event - current.started);
         }
-    } else if (count == k_gap_sample_events) {
+    }
+    if (count == k_events_to_clear) {
+        report_prompt_success(m_traffic, shared_parts(m_request.prompt));
+    }
+    if (count == k_gap_sample_events) {
         observe_gap(m_traffic, observed(current),
                     (m_traffic.timers.now() - current.first_event) / (k_gap_sample_events - 1));
     }
@@ -193,6 +199,7 @@
     }
     const bool is_event_stream = is_stream() && current.head.status == 200;
     if (is_event_stream && !current.events.partial.empty()) {
+        current.is_connection_lost = true;
         end_attempt(attempt_end::broken, "the stream ended in the middle of an event");
         return;
     }
@@ -203,6 +210,7 @@
         m_traffic.mean_stream_duration +=
             (taken - m_traffic.mean_stream_duration) / k_stream_duration_samples;
         record_target_success(m_traffic.usage[current.target_id]);
+        report_prompt_success(m_traffic, shared_parts(m_request.prompt));
         if (!current.copy.name.empty()) {
             release_standby_copy(m_traffic, current.copy.source_address, current.copy.name);
         }
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -1,6 +1,7 @@
 #include "proxied_helpers.h"
 
 #include "lovage/core/engine_memory.h"
+#include "lovage/traffic/prompt_crashes.h"
 #include "lovage/traffic/proxied_request.h"
 
 #include <algorithm>
@@ -13,6 +14,7 @@
 constexpr milliseconds k_min_time_left{30};
 // Retry delay that refused callers are given.
 constexpr milliseconds k_retry_after{200};
+constexpr const char* k_quarantined_detail = "the prompt has parts that crashed several engines";
 
 } // namespace
 
@@ -77,6 +79,10 @@
                                                      m_service_name);
         return;
     }
+    if (is_quarantined()) {
+        refuse(error_kind::prompt_quarantined, k_quarantined_detail);
+        return;
+    }
     m_side = choose_version_side(m_traffic, m_service_name, m_request.forwarded->id);
     record_first_send(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
     if (has_previous_answer()) {
@@ -101,7 +107,16 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - m_traffic.timers.now());
 }
 
+bool proxied_request::is_quarantined() const {
+    return !quarantined_parts(m_traffic.quarantine, m_service_name, shared_parts(m_request.prompt)).empty();
+}
+
 void proxied_request::send(bool from_copy) {
+    // The request may have waited since its admission.
+    if (is_quarantined()) {
+        refuse(error_kind::prompt_quarantined, k_quarantined_detail);
+        return;
+    }
     const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
     const auto want = placement_among(candidates);
     const target_record* record =
@@ -204,12 +219,21 @@
     }
 }
 
+// An engine that crashes while it begins to generate takes the generations along that it has already been
+// producing events for; those say nothing about their prompts.
+void proxied_request::record_crash_of(const attempt& ended) {
+    if (ended.is_connection_lost && ended.event_count < k_events_to_clear) {
+        report_prompt_crash(m_traffic, m_service_name, ended.target_id, shared_parts(m_request.prompt));
+    }
+}
+
 void proxied_request::end_attempt(attempt_end end, const std::string& detail) {
     const auto self = shared_from_this();
     attempt ended = take_attempt();
     ended.handle.cancel();
     release_target(ended);
     record_health(ended, end);
+    record_crash_of(ended);
     const std::string target = ended.target_id;
     m_runs += may_have_run(end) ? 1 : 0;
     if (may_have_run(end)) {
@@ -257,6 +281,7 @@
         const auto* holder = find_ready_target(m_traffic, m_service_name, copy.target_id);
         facts.has_copy = holder != nullptr && m_traffic.usage[copy.target_id].avoid_until <= now;
     }
+    facts.is_quarantined = is_quarantined();
     const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
     facts.has_target = std::any_of(candidates.begin(), candidates.end(), [this](const auto& candidate) {
         const auto& id = candidate.record->id;
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -124,7 +124,7 @@
         received.key = std::move(key);
         received.prompt_tokens = 8'000;
         received.max_output_tokens = max_output_tokens;
-        received.prompt = {{"shared", 200}, {"own", 7'800}};
+        received.prompt = prompt;
         received.last_event_id = std::move(last_event_id);
         received.received = now;
         caller_port port;
@@ -169,6 +169,7 @@
     /// Whether timers fire although they were cancelled, as a port that breaks its contract would let them.
     bool ignores_cancellation = false;
     std::uint64_t max_output_tokens = 1'000;
+    std::vector<prompt_part> prompt{{"shared", 200}, {"own", 7'800}};
     time_point now{std::chrono::seconds(100)};
     boot_time boot{0};
     std::vector<std::shared_ptr<fake_attempt>> attempts;
--- /dev/null
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -0,0 +1,132 @@
+#include "lovage/core/prompt_quarantine.h"
+
+#include <catch2/catch.hpp>
+
+namespace lovage {
+
+namespace {
+
+using parts_list = std::vector<std::string>;
+
+constexpr time_point k_start{std::chrono::seconds(1'000)};
+
+// A crash, or a success if `is_success`, `at` ms after the start.
+struct step {
+    int at_ms;
+    parts_list parts;
+    bool is_success = false;
+};
+
+struct quarantine_case {
+    const char* name;
+    std::vector<step> steps;
+    parts_list prompt;
+    parts_list quarantined;
+};
+
+prompt_quarantine play(const std::vector<step>& steps) {
+    prompt_quarantine quarantine;
+    std::uint64_t id = 0;
+    for (const auto& each : steps) {
+        const auto at = k_start + milliseconds(each.at_ms);
+        if (each.is_success) {
+            record_successes(quarantine, each.parts, at);
+        } else {
+            ++id;
+            record_crash(quarantine, {id, "service", "t" + std::to_string(id), each.parts, at}, at);
+        }
+    }
+    return quarantine;
+}
+
+// Guards against a prompt part that crashes one engine after the other, and against refusing sound prompts
+// that share other parts with it or were only at engines that crashed for other reasons.
+TEST_CASE("parts that crash their engines are quarantined") {
+    const auto test = GENERATE(from_range(std::vector<quarantine_case>{
+        {"two crashes", {{0, {"a", "x"}}, {800, {"a", "x"}}}, {"a", "x"}, {}},
+        {"three crashes", {{0, {"a", "x"}}, {800, {"a", "x"}}, {1'600, {"a", "x"}}}, {"a", "x"}, {"a", "x"}},
+        {"sound prompt with one of the parts",
+         {{0, {"a", "x"}}, {800, {"a", "x"}}, {1'600, {"a", "x"}}},
+         {"a", "y"},
+         {}},
+        {"other parts differ", {{0, {"a", "x"}}, {800, {"b", "x"}}, {1'600, {"a", "x"}}}, {"c", "x"}, {"x"}},
+        {"the other part succeeds later",
+         {{0, {"a", "x"}}, {800, {"a", "x"}}, {900, {"a"}, true}, {1'600, {"a", "x"}}},
+         {"b", "x"},
+         {"x"}},
+        {"all parts succeed in between",
+         {{0, {"a", "x"}}, {800, {"a", "x"}}, {900, {"a", "x"}, true}, {1'600, {"a", "x"}}},
+         {"a", "x"},
+         {}},
+        {"a success lifts it", {{0, {"x"}}, {800, {"x"}}, {1'600, {"x"}}, {1'700, {"x"}, true}}, {"x"}, {}},
+        {"many engines lost at one moment",
+         {{0, {"x"}}, {10, {"x"}}, {20, {"x"}}, {300, {"x"}}, {400, {"x"}}},
+         {"x"},
+         {}},
+        {"a prompt without shared parts", {{0, {}}, {800, {}}, {1'600, {}}}, {}, {}},
+    }));
+    CAPTURE(test.name);
+    const auto quarantine = play(test.steps);
+    CHECK(quarantined_parts(quarantine, "service", test.prompt) == test.quarantined);
+    CHECK(quarantined_parts(quarantine, "other service", test.prompt).empty());
+}
+
+// Guards against counting a crash again that arrives in several reports, and against lists without a bound.
+TEST_CASE("crashes of other processes count once") {
+    prompt_quarantine quarantine;
+    const prompt_crash crash{7, "service", "t1", {"x"}, k_start};
+    CHECK(record_crash(quarantine, crash, k_start));
+    for (int i = 1; i < 5; ++i) {
+        auto again = crash;
+        again.at += milliseconds(i * 700);
+        CHECK_FALSE(record_crash(quarantine, again, k_start + milliseconds(i * 700)));
+    }
+    CHECK(quarantined_parts(quarantine, "service", {"x"}).empty());
+
+    struct limit_case {
+        std::uint64_t crashes;
+        std::size_t remembered;
+    };
+    const auto test = GENERATE(from_range(std::vector<limit_case>{{10, 11}, {1'000, k_max_crashes}}));
+    for (std::uint64_t i = 0; i < test.crashes; ++i) {
+        record_crash(quarantine, {100 + i, "service", "t", {"y" + std::to_string(i)}, k_start}, k_start);
+    }
+    CHECK(quarantine.crashes.size() == test.remembered);
+}
+
+// Guards against a quarantine that never ends, and against one that ends before the prompts stop coming.
+TEST_CASE("a quarantine is remembered for a limited time") {
+    struct age_case {
+        milliseconds age;
+        bool is_quarantined;
+    };
+    const auto test = GENERATE(from_range(std::vector<age_case>{
+        {milliseconds(60'000), true}, {k_crash_retention + milliseconds(2'000), false}}));
+    auto quarantine = play({{0, {"x"}}, {800, {"x"}}, {1'600, {"x"}}});
+    const auto now = k_start + test.age;
+    record_crash(quarantine, {99, "service", "t99", {"other"}, now}, now);
+    CHECK(quarantined_parts(quarantine, "service", {"x"}).empty() != test.is_quarantined);
+}
+
+// Guards against old crashes that reports never mention, so that a new process does not learn of them.
+TEST_CASE("reports mention the newest crashes and the others in turn") {
+    std::vector<step> steps;
+    for (int i = 0; i < 20; ++i) {
+        steps.push_back({i * 10, {"p" + std::to_string(i)}});
+    }
+    auto quarantine = play(steps);
+    std::vector<bool> mentioned(21, false);
+    for (int i = 0; i < 5; ++i) {
+        const auto report = crashes_to_report(quarantine, 8);
+        CHECK(report.size() == 8);
+        CHECK(report[3].id == 20);
+        for (const auto& crash : report) {
+            mentioned[crash.id] = true;
+        }
+    }
+    CHECK(std::count(mentioned.begin(), mentioned.end(), true) == 20);
+}
+
+} // namespace
+
+} // namespace lovage
