--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -63,6 +63,9 @@
     /// Whether an idle connection may be reused. If a reused connection is lost, it is unknown whether the
     /// request ran.
     bool may_reuse_connection = true;
+    /// Whether the request was sent to this target before. The target's answer to the earlier attempt has the
+    /// same id, so a reused connection could deliver it once more.
+    bool was_sent_before = false;
 };
 
 /// The load that a target reports with an answer.
--- a/src/adapters/gateway/target_connection.h
+++ b/src/adapters/gateway/target_connection.h
@@ -18,6 +18,9 @@
     boost::beast::flat_buffer buffer;
     std::string address;
     time_point idle_since{};
+    /// Whether it has carried a request without an id. A late answer to that one would be taken for the
+    /// answer to the next request without an id.
+    bool has_carried_call_without_id = false;
 };
 
 /// Whether an idle connection is still open and has received nothing. Unsolicited bytes would be taken for
--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -106,6 +106,7 @@
 
 void target_exchange::write() {
     m_phase = exchange_phase::exchanging;
+    m_connection->has_carried_call_without_id |= m_request->id.empty();
     m_head_text = head_text(*m_request, m_codec.encode_attempt(*m_request, m_options));
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head_text), asio::buffer(m_request->body)};
     asio::async_write(m_connection->socket, buffers,
--- a/src/adapters/gateway/target_pool.cpp
+++ b/src/adapters/gateway/target_pool.cpp
@@ -2,8 +2,10 @@
 
 #include "target_exchange.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <iterator>
 #include <unordered_map>
 
 namespace lovage {
@@ -29,26 +31,33 @@
     /// Idle connections by address, the most recently used one at the back.
     std::unordered_map<std::string, std::deque<std::unique_ptr<target_connection>>> idle;
 
-    std::unique_ptr<target_connection> take_idle(const std::string& address, bool may_be_stale);
+    std::unique_ptr<target_connection> take_idle(const forwarded_request& request,
+                                                 const attempt_parameters& parameters);
     void add_idle(std::unique_ptr<target_connection> connection);
     void close_expired();
 };
 
-std::unique_ptr<target_connection> target_pool::state::take_idle(const std::string& address,
-                                                                 bool may_be_stale) {
-    const auto found = idle.find(address);
-    if (found == idle.end()) {
+std::unique_ptr<target_connection> target_pool::state::take_idle(const forwarded_request& request,
+                                                                 const attempt_parameters& parameters) {
+    const auto found = idle.find(parameters.address);
+    if (found == idle.end() || parameters.was_sent_before) {
         return nullptr;
     }
     auto& connections = found->second;
     const auto now = monotonic_now();
-    while (!connections.empty()) {
-        if (!may_be_stale &&
-            now - connections.back()->idle_since > options.max_idle_time_for_non_idempotent) {
+    while (true) {
+        const auto newest =
+            std::find_if(connections.rbegin(), connections.rend(), [&request](const auto& connection) {
+                return !request.id.empty() || !connection->has_carried_call_without_id;
+            });
+        const bool is_usable = newest != connections.rend() &&
+                               (parameters.may_reuse_connection ||
+                                now - (*newest)->idle_since <= options.max_idle_time_for_non_idempotent);
+        if (!is_usable) {
             return nullptr;
         }
-        auto connection = std::move(connections.back());
-        connections.pop_back();
+        auto connection = std::move(*newest);
+        connections.erase(std::next(newest).base());
         if (now - connection->idle_since <= options.idle_timeout && can_reuse_connection(*connection)) {
             return connection;
         }
@@ -100,7 +109,7 @@
     port.open = [pool = shared_from_this()](std::shared_ptr<const forwarded_request> request,
                                             attempt_parameters options, attempt_events events) {
         auto& pool_state = *pool->m_state;
-        auto reused = pool_state.take_idle(options.address, options.may_reuse_connection);
+        auto reused = pool_state.take_idle(*request, options);
         pool_state.count(reused ? "kept" : "new");
         const auto timeout = std::min(pool_state.options.connect_timeout, options.time_left);
         const auto exchange = std::make_shared<target_exchange>(
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -47,6 +47,12 @@
     auto& current = *m_attempt;
     current.has_head = true;
     current.head = head;
+    // Checked first: what a stale answer says about a refusal or the load concerns another request. An answer
+    // without an id is not believed either, since targets always repeat the id.
+    if (!head.has_matching_request_id) {
+        end_attempt(attempt_end::broken, "the answer belongs to another request");
+        return;
+    }
     if (head.load) {
         record_target_load(m_traffic.usage[current.target_id], head.load->running + head.load->waiting,
                            m_traffic.timers.now());
@@ -57,8 +63,6 @@
     } else if (head.is_not_run) {
         end_attempt(current.from_copy ? attempt_end::copy_gone : attempt_end::not_run,
                     "status " + std::to_string(head.status));
-    } else if (!head.has_matching_request_id) {
-        end_attempt(attempt_end::broken, "the answer belongs to another request");
     } else if (is_success && !head.has_target_marker) {
         end_attempt(attempt_end::broken, "a success without the target's mark");
     }
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -159,6 +159,7 @@
         options.rank = m_queue_rank;
     }
     options.may_reuse_connection = m_route->is_repeatable();
+    options.was_sent_before = std::find(m_excluded.begin(), m_excluded.end(), record->id) != m_excluded.end();
     m_attempt = std::move(next);
     auto handle = m_traffic.targets.open(m_request.forwarded, std::move(options), events_of(m_attempts));
     m_attempt->handle = std::move(handle);
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -248,6 +248,79 @@
     CHECK(usage.in_flight == 0);
 }
 
+struct stale_refusal_case {
+    const char* name;
+    int status;
+    bool is_not_run;
+    bool is_other_target;
+    bool has_matching_request_id;
+    /// Whether the caller may be told that its request was not run.
+    bool is_believed;
+};
+
+// Guards against "not run", or a second run, for a request that a target runs: the target wrote its refusal
+// of another request once more.
+TEST_CASE("a refusal is believed only if it answers this request") {
+    const auto test = GENERATE(from_range(std::vector<stale_refusal_case>{
+        {"its own refusal", 503, true, false, true, true},
+        {"another request's refusal", 503, true, false, false, false},
+        {"its own misdirection", 421, true, true, true, true},
+        {"another request's misdirection", 421, true, true, false, false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::non_idempotent, 1, 2);
+    const auto request = gateway.request();
+    auto head = fake_gateway::head(test.status);
+    head.is_not_run = test.is_not_run;
+    head.is_other_target = test.is_other_target;
+    head.has_matching_request_id = test.has_matching_request_id;
+    head.load = reported_load{7, 0, 8};
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(head);
+    CHECK(gateway.attempts.size() == (test.is_believed ? 2 : 1));
+    CHECK(gateway.caller.replies.size() == (test.is_believed ? 0 : 1));
+    const bool is_load_known = gateway.traffic.usage[first->options.target_id].peer_requests > 0;
+    CHECK(is_load_known == test.has_matching_request_id);
+    if (!test.is_believed) {
+        CHECK_FALSE(gateway.caller.replies.at(0).is_not_run);
+    }
+}
+
+// Guards against the refusal of an earlier attempt that is taken for the answer to a later one at the same
+// target.
+TEST_CASE("a request that returns to a target uses a new connection") {
+    fake_gateway gateway;
+    gateway.traffic.engine.make_standby_copy_request = [](const std::string&, const std::string& holder) {
+        auto request = std::make_shared<forwarded_request>();
+        request->target = holder;
+        return request;
+    };
+    gateway.traffic.engine.decode_standby_copy = [](const std::string& body) { return std::optional(body); };
+    gateway.publish(request_kind::streaming, 5, 3);
+    const auto request = gateway.request();
+    const auto refusing = gateway.attempts.at(0)->options.target_id;
+    auto refusal = fake_gateway::head(503);
+    refusal.is_not_run = true;
+    gateway.attempts[0]->events.on_head(refusal);
+    const auto running = gateway.attempts.at(1);
+    CHECK_FALSE(running->options.was_sent_before);
+    running->events.on_head(fake_gateway::head(200));
+    running->events.on_body(fake_gateway::event(1));
+    record_and_report_failure(gateway.traffic, "service", "b", running->options.copy_to.target_id,
+                              target_failure_kind::unreachable);
+    gateway.advance(milliseconds(250));
+    running->events.on_body(fake_gateway::event(2));
+    const auto copying = gateway.attempts.at(2);
+    copying->events.on_head(fake_gateway::head(200));
+    copying->events.on_body("copy-1");
+    copying->events.on_end();
+    running->events.on_failure(attempt_end::broken, "scripted");
+    const auto& resumed = gateway.attempts.at(3)->options;
+    REQUIRE(resumed.target_id == refusing);
+    CHECK(resumed.was_sent_before);
+}
+
 struct bad_answer_case {
     const char* name;
     int status;
--- a/tests/unit/target_pool_test.cpp
+++ b/tests/unit/target_pool_test.cpp
@@ -20,6 +20,8 @@
 
 constexpr const char* k_answer =
     "HTTP/1.1 200 OK\r\nRequest-Id: id\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* k_second_answer =
+    "HTTP/1.1 200 OK\r\nRequest-Id: id\r\nResponse-Seal: s\r\nContent-Length: 2\r\n\r\nex";
 constexpr milliseconds k_connect_timeout{40};
 
 std::shared_ptr<forwarded_request> get_request() {
@@ -55,6 +57,30 @@
 
     /// Starts an attempt, holds the thread up for `stall` and then runs the attempt to its end.
     outcome send(const std::string& address, milliseconds stall = milliseconds(0)) {
+        attempt_parameters parameters;
+        parameters.target_id = "t1";
+        return run(get_request(), std::move(parameters), address, stall);
+    }
+
+    /// Sends a request again that the target has already answered.
+    outcome send_again(const std::string& address) {
+        attempt_parameters parameters;
+        parameters.target_id = "t1";
+        parameters.was_sent_before = true;
+        return run(get_request(), std::move(parameters), address, milliseconds(0));
+    }
+
+    /// Sends a request about the target itself, which has no id.
+    outcome call(const std::string& address) {
+        auto request = std::make_shared<forwarded_request>();
+        request->method = "GET";
+        request->target = "/status";
+        return run(std::move(request), {}, address, milliseconds(0));
+    }
+
+private:
+    outcome run(std::shared_ptr<const forwarded_request> request, attempt_parameters parameters,
+                const std::string& address, milliseconds stall) {
         outcome result;
         bool is_done = false;
         attempt_events events;
@@ -69,11 +95,9 @@
             result.detail = detail;
             is_done = true;
         };
-        attempt_parameters parameters;
-        parameters.target_id = "t1";
         parameters.address = address;
         parameters.time_left = milliseconds(2'000);
-        const auto handle = m_pool->port().open(get_request(), parameters, std::move(events));
+        const auto handle = m_pool->port().open(std::move(request), parameters, std::move(events));
         std::this_thread::sleep_for(stall);
         const auto deadline = monotonic_now() + std::chrono::seconds(5);
         while (!is_done && monotonic_now() < deadline) {
@@ -83,7 +107,6 @@
         return result;
     }
 
-private:
     boost::asio::io_context m_io;
     std::shared_ptr<target_pool> m_pool;
 };
@@ -114,6 +137,50 @@
     CHECK(server.requests().size() == (test.is_listening ? 1 : 0));
 }
 
+enum class second_request : std::uint8_t { another, the_same_again, call_after_call, call_after_request };
+
+struct reuse_case {
+    const char* name;
+    second_request second;
+    bool is_reused;
+};
+
+// Guards against an answer that a target writes once more and that the id cannot tell from the next one.
+TEST_CASE("a connection is reused only where the id tells an earlier answer from the next") {
+    const auto test = GENERATE(from_range(std::vector<reuse_case>{
+        {"another request", second_request::another, true},
+        {"the same request again", second_request::the_same_again, false},
+        {"a call without an id after another", second_request::call_after_call, false},
+        {"a call without an id after a request", second_request::call_after_request, true},
+    }));
+    CAPTURE(test.name);
+    // A connection that is reused against the expectation gets no second answer.
+    const auto script =
+        test.is_reused ? std::vector<scripted_connection>{{{k_answer, k_second_answer}, false}}
+                       : std::vector<scripted_connection>{{{k_answer}, true}, {{k_second_answer}, false}};
+    scripted_server server(script);
+    pool_client client;
+    const bool starts_with_call = test.second == second_request::call_after_call;
+    const auto first = starts_with_call ? client.call(server.address()) : client.send(server.address());
+    CHECK(first.is_complete);
+    const auto send_second = [&] {
+        switch (test.second) {
+        case second_request::another:
+            return client.send(server.address());
+        case second_request::the_same_again:
+            return client.send_again(server.address());
+        case second_request::call_after_call:
+        case second_request::call_after_request:
+            break;
+        }
+        return client.call(server.address());
+    };
+    const auto second = send_second();
+    CHECK(second.is_complete);
+    CHECK(second.body == "ex");
+    CHECK(server.requests().size() == 2);
+}
+
 } // namespace
 
 } // namespace lovage
