Do not serve a request twice that is read as the answer before it ends

Cause: the end of an answer sets the phase to `reading` at once, but the parser is renewed only by a posted handler. A read that completes between the two was taken for a part of a new request and found the finished parser of the previous one, whose moved-from message was served.

Change: the phase is `answered` until the next request is expected. Bytes that arrive meanwhile are kept.

Evidence: the new test queues the read and the end of the answer in that order: before, two answers where one is due; after, one, and the second request is served. Unit tests only.

Conclusion: which request bytes belong to follows from the session's phase.

--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -96,7 +96,7 @@
 void caller_session::arm_timer(milliseconds delay) {
     m_timer.start(delay, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (!self || self->m_phase == session_phase::serving || self->m_phase == session_phase::closed) {
+        if (!self || self->is_request_parsed() || self->m_phase == session_phase::closed) {
             return;
         }
         if (self->m_phase == session_phase::reading && self->m_has_request_bytes) {
@@ -112,7 +112,7 @@
     if (m_is_reading || m_phase == session_phase::closed) {
         return;
     }
-    if (m_phase == session_phase::serving && m_buffer.size() >= k_max_read_ahead) {
+    if (is_request_parsed() && m_buffer.size() >= k_max_read_ahead) {
         return;
     }
     m_is_reading = true;
@@ -298,10 +298,10 @@
         flush();
         return;
     }
-    m_phase = session_phase::reading;
+    m_phase = session_phase::answered;
     // Posted, since this function may run within another function of this session.
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (self->m_phase == session_phase::reading) {
+        if (self->m_phase == session_phase::answered) {
             self->expect_request();
             self->read();
         }
@@ -359,6 +359,10 @@
     m_on_closed(this);
 }
 
+bool caller_session::is_request_parsed() const {
+    return m_phase == session_phase::serving || m_phase == session_phase::answered;
+}
+
 bool caller_session::is_idle() const {
     return m_phase == session_phase::reading && !m_has_request_bytes && !m_is_writing;
 }
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -24,10 +24,10 @@
     bool is_draining = false;
 };
 
-enum class session_phase : std::uint8_t { reading, serving, lingering, closed };
-inline constexpr std::size_t k_session_phase_count = 4;
-inline constexpr enum_names<k_session_phase_count> k_session_phase_names{"reading", "serving", "lingering",
-                                                                         "closed"};
+enum class session_phase : std::uint8_t { reading, serving, answered, lingering, closed };
+inline constexpr std::size_t k_session_phase_count = 5;
+inline constexpr enum_names<k_session_phase_count> k_session_phase_names{"reading", "serving", "answered",
+                                                                         "lingering", "closed"};
 
 /// HTTP/1.1 connection of one caller. It keeps itself alive while an operation is in progress.
 class caller_session : public std::enable_shared_from_this<caller_session> {
@@ -62,6 +62,8 @@
     void linger();
     void close();
     void arm_timer(milliseconds delay);
+    /// Whether bytes that arrive belong to a later request than the one that the parser holds.
+    bool is_request_parsed() const;
     const caller_limits& limits() const;
 
     boost::asio::ip::tcp::socket m_socket;
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -8,8 +8,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -61,6 +63,8 @@
         m_io.restart();
         m_io.run_for(time);
     }
+    /// Queues `action` behind the completions that the thread has not handled yet.
+    void post(std::function<void()> action) { asio::post(m_io, std::move(action)); }
     void send(const std::string& text) { asio::write(m_caller, asio::buffer(text)); }
     /// What the caller has received so far; "closed" is added once the server has closed the connection.
     std::string received() {
@@ -104,6 +108,31 @@
     CHECK(fixture.gateway().attempts.size() == test.attempts);
 }
 
+// Guards against a second, empty request when the read of the next request's bytes completes between the end
+// of an answer and the start of the next request.
+TEST_CASE("a request that is read while the answer before it ends is served once") {
+    caller_fixture fixture;
+    const std::string request = std::string(k_head_start) + k_head_end;
+    fixture.send(request);
+    fixture.run(milliseconds(20));
+    REQUIRE(fixture.gateway().attempts.size() == 1);
+    fixture.post([&] {
+        fixture.send(request);
+        // The completion of the read is queued between this action and what the end of the answer posts.
+        fixture.post([&] {
+            const auto events = fixture.gateway().attempts[0]->events;
+            events.on_head(fake_gateway::head(200));
+            events.on_body("ok");
+            events.on_end();
+        });
+    });
+    fixture.run(milliseconds(20));
+    CHECK(fixture.gateway().attempts.size() == 2);
+    const auto received = fixture.received();
+    CHECK(received.find("HTTP/1.1 200") == 0);
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+}
+
 } // namespace
 
 } // namespace lovage
