State "not run" at a relay only if it has attached once

What callers could see: a refusal with "not run" (REFUSED) for a generation that the home entry was running.

Cause: a home that was silent answers an attach message with a refusal, then reads the relay's second attach message and starts the request. The relay took the refusal for the reply to the second one: a failure names no attach message.

Change: a relay that has sent more than one attach message does not pass on the statement that the request was not run. It already counts each as a possible run.

Evidence: the new test lets the refusal arrive after the second attach, while an agent has the request: before, "not run"; after, not stated. With one attach it is stated as before.

Conclusion: the statement follows from what this entry has sent.

--- a/src/traffic/answer_session.cpp
+++ b/src/traffic/answer_session.cpp
@@ -260,7 +260,10 @@
             schedule_timer(now);
             return;
         }
-        end_failed({message.kind, message.detail, milliseconds(message.retry_after_ms)}, message.not_run);
+        // The home states this of one attach message. If there were more, the failure may be the reply to an
+        // earlier one, and the home may dispatch the request for a later one.
+        const bool is_not_run = message.not_run && m_possible_runs <= 1;
+        end_failed({message.kind, message.detail, milliseconds(message.retry_after_ms)}, is_not_run);
         return;
     }
     if (m_target != from || message.ref != current_ref()) {
--- a/tests/unit/entry_service_test.cpp
+++ b/tests/unit/entry_service_test.cpp
@@ -768,6 +768,28 @@
     CHECK_FALSE(result.last->not_run);
 }
 
+// Guards against "not run" for a running request, when the home's refusal of an earlier attach arrives after
+// the relay has attached again.
+TEST_CASE("a relay states not run only if it has attached once") {
+    const auto attaches = GENERATE(1, 2);
+    CAPTURE(attaches);
+    test_fleet fleet({"e1", "e2"}, {"a1"});
+    const std::string key = key_with_home(fleet, "e1");
+    auto reader = fleet.entries["e2"].service->generate(request_of(key));
+    REQUIRE(reader);
+    REQUIRE(fleet.next_attempt().first != nullptr);
+    auto relay = fleet.entries["e2"].service->events();
+    if (attaches == 2) {
+        relay.on_disconnected("e1");
+    }
+    const attempt_ref ref{request_id::from_key("o", key), {}, 0};
+    relay.on_message("e1", failed_message{ref, error_kind::overloaded, "scripted", true, 0});
+    const auto result = read_all(*reader);
+    REQUIRE(result.last);
+    CHECK(result.last->failure.kind == error_kind::overloaded);
+    CHECK(result.last->not_run == (attaches == 1));
+}
+
 enum class home_loss : std::uint8_t { killed, frozen, cut };
 
 struct home_loss_case {
