Count a failed run at the former home as a run

What callers could see: "not run" for a generation that ran at the former home of its key, after that home had failed it, for example at its deadline.

Cause: the new home took every failure that the former home sent for the statement that it does not know the request, and took back the possible run.

Change: only `not_found`, or a failure that states it, means that nothing ran.

Evidence: the new test has a home that left 60 s ago: for `deadline_exceeded` "not run" before, not stated after; for `not_found` stated before and after.

Conclusion: the number of possible runs is reduced only by a statement that says so. The new home still starts the answer itself, as before.

--- a/src/traffic/answer_session.cpp
+++ b/src/traffic/answer_session.cpp
@@ -253,9 +253,12 @@
             return;
         }
         if (m_follows_former_home && m_log.answer.value == 0) {
-            // The former home has no answer, and the attach message dispatched nothing there.
             m_upstream.reset();
-            --m_possible_runs;
+            // An attach message dispatches nothing at the former home, but an answer that failed there may
+            // have run before.
+            if (message.kind == error_kind::not_found || message.not_run) {
+                --m_possible_runs;
+            }
             become_home(now);
             schedule_timer(now);
             return;
--- a/tests/unit/entry_service_test.cpp
+++ b/tests/unit/entry_service_test.cpp
@@ -1148,6 +1148,41 @@
     CHECK(read_all(*reader).tokens == texts(0, 1));
 }
 
+struct former_failure_case {
+    error_kind kind;
+    bool not_run;
+};
+
+// Guards against "not run" for a request that the former home ran: each failure that it sent counted as the
+// statement that it does not know the request.
+TEST_CASE("a failed run at the former home still counts as a run") {
+    const auto test = GENERATE(from_range(std::vector<former_failure_case>{
+        {error_kind::not_found, true},
+        {error_kind::deadline_exceeded, false},
+    }));
+    CAPTURE(to_string(test.kind));
+    test_fleet fleet({"e1", "e2"}, {});
+    const std::string key = key_with_home(fleet, "e1");
+    fleet_view view = view_of({"e1", "e2"}, {});
+    view.sequence = 2;
+    view.members[0].state = member_state::leaving;
+    // Longer ago than the time in which "not run" is not stated after a change of the home.
+    view.members[0].state_since = monotonic_now() - std::chrono::seconds(60);
+    fleet.entries["e2"].publish(view);
+    fleet.network.freeze("e1");
+    auto request = request_of(key);
+    request.spec.deadline = wall_now() + milliseconds(300);
+    auto reader = fleet.entries["e2"].service->generate(request);
+    REQUIRE(reader);
+    const attempt_ref ref{request_id::from_key("o", key), {}, 0};
+    fleet.entries["e2"].service->events().on_message("e1",
+                                                     failed_message{ref, test.kind, "scripted", false, 0});
+    const auto result = read_all(*reader);
+    REQUIRE(result.last);
+    CHECK(result.last->kind == read_result_kind::failed);
+    CHECK(result.last->not_run == test.not_run);
+}
+
 // Guards against callers that wait for ever for an answer that does not exist.
 TEST_CASE("following an unknown request ends with not_found") {
     const auto home = GENERATE(from_range(std::vector<std::string>{"e1", "e2"}));
