Answer the orders that wait when a target stops

What operators could see: an order without a result, so that the control process waits for its timeout and cannot tell whether the order was executed.

Cause: the runner's thread ended when the queue was closed and left what was in it.

Change: orders that are still in the queue get the result `leaving`; none of them is executed.

Evidence: the new test stops a runner with one order in progress and one waiting: 1 result before, 2 after; the engine gets one order in both.

Conclusion: each order that was taken into the queue gets a result.

--- a/src/traffic/order_runner.cpp
+++ b/src/traffic/order_runner.cpp
@@ -33,9 +33,14 @@
 
 void order_runner::run() {
     constexpr milliseconds idle_wait{60'000};
-    while (!m_jobs.is_closed()) {
-        if (const auto next = m_jobs.pop_until(monotonic_now() + idle_wait)) {
-            send_result(*next, execute(next->order));
+    while (true) {
+        const auto next = m_jobs.pop_until(monotonic_now() + idle_wait);
+        const bool is_stopping = m_jobs.is_closed();
+        if (next) {
+            send_result(*next, is_stopping ? fail(error_kind::leaving, "the target stops; nothing was done")
+                                           : execute(next->order));
+        } else if (is_stopping) {
+            return;
         }
     }
 }
