State "not run" of a call only for errors from before it is sent

What callers could see: nothing so far. The service adapter returns four kinds of error, and for these the statement was true. Any further kind would have been stated as "not run", also for a call that was sent.

Cause: the call runner named the one kind that means "sent" and took all others for "not sent".

Change: the kinds that are returned before a connection is opened are named; with any other kind the statement is not made.

Evidence: the rows `target_failed` and `protocol_error` of the table fail before ("not run") and pass after; the rows for the kinds in use pass before and after.

Conclusion: a new kind of error is on the safe side.

--- a/src/traffic/call_runner.cpp
+++ b/src/traffic/call_runner.cpp
@@ -10,6 +10,12 @@
 // Stays below the message size limit of peer connections with room for the other fields.
 constexpr std::size_t k_max_reply_bytes = 3U << 20U;
 
+// The kinds with which the service port refuses a call before it opens a connection. With any other kind the
+// service may have run the call.
+bool is_refused_before_sending(error_kind kind) {
+    return kind == error_kind::invalid_request || kind == error_kind::deadline_exceeded;
+}
+
 call_result_message failed_result(const request_id& request, const error& failure, bool not_run) {
     call_result_message result;
     result.request = request;
@@ -150,8 +156,7 @@
         if (failure.kind == error_kind::peer_unreachable) {
             return failed_result(call.request, {error_kind::no_target, "the service is down"}, true);
         }
-        const bool was_sent = failure.kind == error_kind::outcome_unknown;
-        return failed_result(call.request, failure, !was_sent);
+        return failed_result(call.request, failure, is_refused_before_sending(failure.kind));
     }
     if (reply->body.size() > k_max_reply_bytes) {
         return failed_result(call.request, {error_kind::target_failed, "the service's answer is too large"},
--- a/tests/unit/call_runner_test.cpp
+++ b/tests/unit/call_runner_test.cpp
@@ -144,7 +144,11 @@
 TEST_CASE("only a call that was not sent is reported as not run") {
     const auto test = GENERATE(from_range(std::vector<service_failure_case>{
         {error_kind::peer_unreachable, error_kind::no_target, true},
+        {error_kind::deadline_exceeded, error_kind::deadline_exceeded, true},
+        {error_kind::invalid_request, error_kind::invalid_request, true},
         {error_kind::outcome_unknown, error_kind::outcome_unknown, false},
+        {error_kind::target_failed, error_kind::target_failed, false},
+        {error_kind::protocol_error, error_kind::protocol_error, false},
     }));
     runner_fixture fixture;
     fixture.reply = fail(test.from_service, "x");
