Ignore a peer's reports from before its restart

What callers could see: nothing directly. Load of an earlier process was used to choose targets, and each switch between the two processes' reports applied all their target failures again.

Cause: a report with another start time was taken for a newer one, so a datagram that was sent before the restart and arrived late replaced the current report.

Change: while a peer counts as live, a report with an earlier start time is ignored and counted. After its silence it is accepted, so that a peer whose clock was set back is heard again.

Evidence: row "late" of the new test: load 9 in place of 5 before, 5 after; the rows for a clock that was set back and for another restart pass before and after.

Conclusion: reports of one process are applied in the order of its starts.

--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -223,12 +223,18 @@
         return;
     }
     auto& peer = exchange.peers[report.address];
+    const bool was_live = is_live(exchange, peer, now);
+    if (was_live && report.node == peer.report.node && report.started_ms < peer.report.started_ms) {
+        // Sent before the peer restarted. A peer whose clock was set back before it restarted is heard again
+        // once its earlier reports have expired.
+        traffic.sink.count("gateway_peers_ignored", "earlier_start");
+        return;
+    }
     if (report.started_ms != peer.report.started_ms || report.node != peer.report.node) {
         peer.last_applied_failure_number = 0;
     } else if (report.sequence <= peer.report.sequence) {
         return;
     }
-    const bool was_live = is_live(exchange, peer, now);
     if (!was_live) {
         traffic.sink.log(log_level::info, "peer_known", {{"peer", report.node}, {"address", report.address}});
     }
--- a/tests/unit/peer_exchange_test.cpp
+++ b/tests/unit/peer_exchange_test.cpp
@@ -241,6 +241,40 @@
     CHECK(gateway.attempts.size() == (test.ends ? 2 : 1));
 }
 
+struct old_report_case {
+    const char* name;
+    std::uint64_t started_ms;
+    std::int64_t silence_ms;
+    std::uint32_t in_flight;
+};
+
+// Guards against load and target failures of a process that has restarted since, when a report that it sent
+// before the restart arrives late.
+TEST_CASE("a late report from before a restart is not applied") {
+    const auto test = GENERATE(from_range(std::vector<old_report_case>{
+        {"late", 1'000, 0, 5},
+        {"the clock was set back before the restart", 1'000, 60'000, 9},
+        {"restarted again", 3'000, 0, 9},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.traffic.peers.node = "own";
+    gateway.traffic.peers.address = "10.0.0.1:7";
+    peer_report report;
+    report.node = "n";
+    report.address = "10.0.0.2:7";
+    report.started_ms = 2'000;
+    report.sequence = 1;
+    report.usage = {{"t1", 5, 0, 0, 0}};
+    apply_peer_report(gateway.traffic, report);
+    gateway.advance(milliseconds(test.silence_ms));
+    report.started_ms = test.started_ms;
+    report.sequence = 7;
+    report.usage = {{"t1", 9, 0, 0, 0}};
+    apply_peer_report(gateway.traffic, report);
+    CHECK(sum_peer_usage(gateway.traffic, "t1").in_flight == test.in_flight);
+}
+
 } // namespace
 
 } // namespace lovage
