Keep the result of a move's write while the control thread is held up

What operators could see: a rollout that makes no progress by this process until it restarts; with every process in this state it ends at its deadline, not `completed`.

Cause: `is_writing` was cleared only by the result of the write. If the queue of events was full, the result was dropped, and the move waited for it for ever. The comment claimed that this only delays the next write. A write for which the queue of writes had no room left the same mark.

Change: the writer thread offers the result again until there is room. A write that finds no room ends at once as failed.

Conclusion: each write that was planned has a result.

--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds k_min_backoff{100};
 constexpr milliseconds k_max_backoff{500};
 
+// Interval at which the writer thread offers a result again while the queue of events is full.
+constexpr milliseconds k_result_retry_interval{100};
+
 // Longest wait of the writer thread before it checks again whether it must stop.
 constexpr milliseconds k_idle_wait{60'000};
 
@@ -188,8 +191,11 @@
                     {"phase", std::string(name_of(k_move_phase_names, write->record.phase))},
                     {"expected", std::to_string(write->expected)},
                     {"outcome", revision ? "ok" : std::string(to_string(revision.error().kind))}}});
-        // If the queue is full the result is lost, which only delays the next write.
-        events.push(move_write_result{write->service, std::move(revision)});
+        // The next write of the service waits for this result, so it must not be lost while the queue is
+        // full.
+        const move_write_result written{write->service, std::move(revision)};
+        while (!events.push(written) && pause(k_result_retry_interval)) {
+        }
     }
 }
 
@@ -206,7 +212,11 @@
         next = expire_targets(gateway, now);
         next = std::min(next, plan_moves(gateway, now, wall, due_writes));
         for (auto& write : due_writes) {
-            writes.push(std::move(write));
+            const auto service = write.service;
+            if (!writes.push(std::move(write))) {
+                apply_move_write(gateway,
+                                 {service, fail(error_kind::overloaded, "the queue of writes is full")}, now);
+            }
         }
         due_writes.clear();
         const auto before = gateway.view;
