--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovage/core/answer_plan.h"
 #include "lovage/core/attempt_plan.h"
 #include "lovage/core/event_splitter.h"
 #include "lovage/core/route_table.h"
@@ -93,6 +94,7 @@
         time_point copy_checked{};
         bool is_copying = false;
         answer_head head;
+        answer_use use = answer_use::hold;
         std::string body;
         event_splitter events;
         stream_timing timing;
@@ -186,8 +188,7 @@
     std::uint32_t m_attempts = 0;
     std::uint32_t m_runs = 0;
     std::uint32_t m_resumes = 0;
-    bool m_has_response_started = false;
-    bool m_is_passing_through = false;
+    delivery_phase m_delivered = delivery_phase::nothing;
     bool m_is_reading_paused = false;
     bool m_is_done = false;
     std::string m_last_event_id;
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -65,13 +65,18 @@
                     "status " + std::to_string(head.status));
     } else if (is_success && !head.has_target_marker) {
         end_attempt(attempt_end::broken, "a success without the target's mark");
+    } else {
+        current.use = plan_answer_use(m_delivered, is_stream(), head.status);
+        if (current.use == answer_use::reject) {
+            end_attempt(attempt_end::failed_answer,
+                        "status " + std::to_string(head.status) + " after the response has begun");
+        }
     }
 }
 
 void proxied_request::handle_body(std::string_view bytes) {
     auto& current = *m_attempt;
-    const bool is_event_stream = is_stream() && current.head.status == 200;
-    if (is_event_stream) {
+    if (current.use == answer_use::forward_events) {
         std::string out;
         const bool is_bounded = split_events(
             current.events, bytes, [this, &out](const stream_event& event) { handle_event(event, out); });
@@ -83,13 +88,12 @@
             end_attempt(attempt_end::broken, "an event without an end");
             return;
         }
-    } else if (m_is_passing_through) {
+    } else if (m_delivered == delivery_phase::body) {
         m_caller.write(std::string(bytes));
     } else {
         current.body.append(bytes);
         if (current.body.size() > k_max_buffered_answer_bytes) {
-            m_is_passing_through = true;
-            m_has_response_started = true;
+            m_delivered = delivery_phase::body;
             m_caller.start(current.head, std::nullopt);
             m_caller.write(std::move(current.body));
         }
@@ -117,7 +121,7 @@
         auto& usage = m_traffic.usage[current.target_id];
         usage.awaiting_first_event_count -= usage.awaiting_first_event_count > 0 ? 1 : 0;
         record_target_success(usage);
-        if (m_has_response_started) {
+        if (m_delivered == delivery_phase::events) {
             m_traffic.sink.observe("gateway_resume_gap_seconds", to_seconds(now - m_last_delivery));
         }
     }
@@ -183,8 +187,8 @@
 }
 
 void proxied_request::start_stream() {
-    if (!m_has_response_started) {
-        m_has_response_started = true;
+    if (m_delivered == delivery_phase::nothing) {
+        m_delivered = delivery_phase::events;
         m_caller.start(m_attempt->head, std::nullopt);
         m_traffic.sink.observe("gateway_first_event_seconds",
                                to_seconds(m_traffic.timers.now() - m_request.received));
@@ -201,13 +205,13 @@
         end_attempt(attempt_end::failed_answer, "status " + std::to_string(current.head.status));
         return;
     }
-    const bool is_event_stream = is_stream() && current.head.status == 200;
+    const bool is_event_stream = current.use == answer_use::forward_events;
     if (is_event_stream && !current.events.partial.empty()) {
         current.is_connection_lost = true;
         end_attempt(attempt_end::broken, "the stream ended in the middle of an event");
         return;
     }
-    if (is_event_stream || m_is_passing_through) {
+    if (is_event_stream || m_delivered == delivery_phase::body) {
         start_stream();
         const auto taken = m_traffic.timers.now() - m_request.received;
         observe_completion(m_traffic, observed(current), taken);
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -270,8 +270,8 @@
     attempt_outcome facts;
     facts.end = end;
     facts.is_repeatable = m_route->is_repeatable();
-    facts.has_delivered = m_has_response_started;
-    facts.is_continuable = is_stream() && !m_is_passing_through;
+    facts.has_delivered = m_delivered != delivery_phase::nothing;
+    facts.is_continuable = is_stream() && m_delivered != delivery_phase::body;
     facts.runs = m_runs;
     facts.sends = m_attempts;
     facts.max_attempts = m_route->max_attempts;
@@ -338,7 +338,7 @@
         cancel_attempt();
     }
     const auto& properties = error_properties_of(kind);
-    if (m_has_response_started) {
+    if (m_delivered != delivery_phase::nothing) {
         m_caller.break_off();
         finish("broken_off", detail);
         return;
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -381,6 +381,46 @@
     CHECK(gateway.attempts[2]->options.target_id != holder);
 }
 
+struct later_answer_case {
+    const char* name;
+    int status;
+    std::string body;
+};
+
+// Guards against the text or the head of an error answer in the middle of a caller's stream, and against a
+// broken stream that ends as if it were complete.
+TEST_CASE("a stream that has begun is continued by events or broken off") {
+    const auto test = GENERATE(from_range(std::vector<later_answer_case>{
+        {"no content", 204, ""},
+        {"other success", 201, "created"},
+        {"redirect", 302, "moved"},
+        {"bad request", 400, "bad"},
+        {"not found", 404, "not found"},
+        {"conflict", 409, ""},
+        {"failure", 500, "failed"},
+        {"large error", 404, std::string(300'000, 'x')},
+        {"large failure", 502, std::string(300'000, 'x')},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 2, 6);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(fake_gateway::head(200));
+    first->events.on_body(fake_gateway::event(1) + "id: 2\nda");
+    first->events.on_failure(attempt_end::broken, "scripted");
+    const auto second = gateway.attempts.at(1);
+    second->events.on_head(fake_gateway::head(test.status));
+    second->events.on_body(test.body);
+    second->events.on_end();
+    CHECK(gateway.attempts.size() == 2);
+    CHECK(gateway.caller.status == 200);
+    CHECK((gateway.caller.body == fake_gateway::event(1)));
+    CHECK(gateway.caller.is_aborted);
+    CHECK_FALSE(gateway.caller.is_finished);
+    CHECK(gateway.traffic.requests.empty());
+}
+
 struct search_case {
     const char* name;
     /// Tokens of the request's own prompt part in each engine's prefix cache; negative if no engine replies.
