Pass on a large failure of a target to its end

What callers saw: a target's answer of 500 or more with a body of over 256 kB was broken off at its end, although every byte had been passed on.

Cause: the end of each such answer counted as a failed attempt, also of one whose parts the caller had received already and that only the same answer can end.

Change: once a body is being passed on, its end completes the response; a failure counts against the version and as "failed_by_target".

Evidence before: "an answer that is too large to be held is passed on whole" failed in both rows with a failure (not finished, broken off). After: it passes.

Conclusion: what is passed on is completed whatever its status.

--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -201,7 +201,8 @@
         end_attempt(attempt_end::broken, "connection closed with no answer");
         return;
     }
-    if (current.head.status >= 500) {
+    const bool is_failure = current.head.status >= 500;
+    if (is_failure && m_delivered == delivery_phase::nothing) {
         end_attempt(attempt_end::failed_answer, "status " + std::to_string(current.head.status));
         return;
     }
@@ -213,18 +214,22 @@
     }
     if (is_event_stream || m_delivered == delivery_phase::body) {
         start_stream();
-        const auto taken = m_traffic.timers.now() - m_request.received;
-        observe_completion(m_traffic, observed(current), taken);
-        m_traffic.mean_stream_duration +=
-            (taken - m_traffic.mean_stream_duration) / k_stream_duration_samples;
-        record_target_success(m_traffic.usage[current.target_id]);
-        report_prompt_success(m_traffic, shared_parts(m_request.prompt));
+        if (is_failure) {
+            observe_failure(m_traffic, observed(current));
+        } else {
+            const auto taken = m_traffic.timers.now() - m_request.received;
+            observe_completion(m_traffic, observed(current), taken);
+            m_traffic.mean_stream_duration +=
+                (taken - m_traffic.mean_stream_duration) / k_stream_duration_samples;
+            record_target_success(m_traffic.usage[current.target_id]);
+            report_prompt_success(m_traffic, shared_parts(m_request.prompt));
+        }
         if (!current.copy.name.empty()) {
             release_standby_copy(m_traffic, current.copy.source_address, current.copy.name);
         }
         release_target(take_attempt());
         m_caller.finish();
-        finish("served");
+        finish(is_failure ? "failed_by_target" : "served");
         return;
     }
     const attempt done = take_attempt();
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -421,6 +421,36 @@
     CHECK(gateway.traffic.requests.empty());
 }
 
+struct large_answer_case {
+    const char* name;
+    request_kind kind;
+    int status;
+};
+
+// Guards against a whole answer that is broken off at its end because it is an error.
+TEST_CASE("an answer that is too large to be held is passed on whole") {
+    const auto test = GENERATE(from_range(std::vector<large_answer_case>{
+        {"success", request_kind::idempotent, 200},
+        {"error", request_kind::idempotent, 404},
+        {"failure", request_kind::idempotent, 500},
+        {"failure on a route of streams", request_kind::streaming, 503},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(test.kind, 2, 3);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(fake_gateway::head(test.status));
+    first->events.on_body(std::string(300'000, 'x'));
+    first->events.on_body("end");
+    first->events.on_end();
+    CHECK(gateway.attempts.size() == 1);
+    CHECK(gateway.caller.status == test.status);
+    CHECK((gateway.caller.body == std::string(300'000, 'x') + "end"));
+    CHECK(gateway.caller.is_finished);
+    CHECK_FALSE(gateway.caller.is_aborted);
+}
+
 struct search_case {
     const char* name;
     /// Tokens of the request's own prompt part in each engine's prefix cache; negative if no engine replies.
