Let a load with a duration run for that duration

What operators saw: the demo's model move stayed in `canary` with "too few requests for the canary" and was reverted at its deadline of 60 s.

The demo asked for 58 s at 200 requests a second and got 100 requests in 1.0 s ("requests": 100 in the report), 4 s before the canary began. Evidence reached the leader (59 evidence messages); there was no traffic to report. The measurement cases resume, drain, overload, fairness and routing pass a duration without a number as well, so their loads ended after 100 requests too.

Conclusion: one cause of several. The figures of the five measurement cases come from 100 requests each and have to be measured again.

--- a/tests/process/standins_test.cpp
+++ b/tests/process/standins_test.cpp
@@ -62,8 +62,40 @@
     const char* counter;
 };
 
+struct length_case {
+    const char* name;
+    arguments options;
+    std::uint64_t least_requests;
+    std::uint64_t most_requests;
+};
+
 } // namespace
 
+// Guards against a load that ends after its first 100 requests although it was started for a time: the faults
+// and moves that follow then meet no traffic.
+TEST_CASE("a load lasts as long as its number of requests and its duration say") {
+    // The rate yields 300 requests on average.
+    const auto test = GENERATE(from_range(std::vector<length_case>{
+        {"nothing given", {}, 100, 100},
+        {"number", {"-n", "150"}, 150, 150},
+        {"duration", {"--rate", "200", "--duration-ms", "1500"}, 200, 500},
+        {"duration in the closed loop", {"-c", "20", "--duration-ms", "1500"}, 300, 20'000},
+        {"no number, duration", {"-n", "0", "--rate", "200", "--duration-ms", "1500"}, 200, 500},
+        {"number before duration", {"-n", "50", "--rate", "200", "--duration-ms", "10000"}, 50, 50},
+        {"100 before duration", {"-n", "100", "--rate", "200", "--duration-ms", "10000"}, 100, 100},
+    }));
+    CAPTURE(test.name);
+    const auto address = free_address();
+    const auto engine = start_engine(address, {"slots=100"});
+    arguments options{"--direct-engine", "--entry", address, "-t", "3", "-c", "100", "--require-completion"};
+    options.insert(options.end(), test.options.begin(), test.options.end());
+    const load_result load = run_load(options);
+    CAPTURE(load.report.dump());
+    CHECK(load.exit_code == k_exit_correct);
+    CHECK(load.report["requests"] >= test.least_requests);
+    CHECK(load.report["requests"] <= test.most_requests);
+}
+
 // Guards against a load generator that does not detect wrong answers of an engine, or that reports answers as
 // wrong or incomplete although a retry completed them.
 TEST_CASE("the load generator distinguishes wrong answers from interrupted ones") {
--- a/tools/programs/lovage-load/options.cpp
+++ b/tools/programs/lovage-load/options.cpp
@@ -1,6 +1,7 @@
 #include "options.h"
 
 #include <cstdlib>
+#include <limits>
 #include <memory>
 #include <popt.h>
 #include <sstream>
@@ -12,6 +13,11 @@
 
 enum option_value : int { k_option_entry = 1, k_option_ledger };
 
+// Requests of a load without a duration.
+constexpr long long k_default_requests = 100;
+// Value of an integer option that was not given.
+constexpr long long k_not_given = std::numeric_limits<long long>::min();
+
 struct context_deleter {
     void operator()(poptContext context) const { poptFreeContext(context); }
 };
@@ -39,7 +45,7 @@
     char* key_prefix = nullptr;
     char* records = nullptr;
     long long seed = 1;
-    long long requests = 100;
+    long long requests = k_not_given;
     int duration_ms = 0;
     int concurrency = 10;
     double rate = 0.0;
@@ -224,7 +230,8 @@
         {"mode", 'm', POPT_ARG_STRING, &raw.mode, 0,
          "stream, whole, lookup, post, direct-engine, direct-lookup or direct-post", "MODE"},
         {"direct-engine", 0, POPT_ARG_NONE, &raw.direct_engine, 0, "same as --mode direct-engine", nullptr},
-        {"requests", 'n', POPT_ARG_LONGLONG, &raw.requests, 0, "requests in total; 0: no limit", "N"},
+        {"requests", 'n', POPT_ARG_LONGLONG, &raw.requests, 0,
+         "requests in total; 0: no limit; default 100, or no limit with --duration-ms", "N"},
         {"duration-ms", 'd', POPT_ARG_INT, &raw.duration_ms, 0, "how long to start requests; 0: no limit",
          "MS"},
         {"concurrency", 'c', POPT_ARG_INT, &raw.concurrency, 0,
@@ -292,6 +299,9 @@
     if (line.prints_version) {
         return line;
     }
+    if (raw.requests == k_not_given) {
+        raw.requests = raw.duration_ms == 0 ? k_default_requests : 0;
+    }
     auto read = to_options(raw);
     if (!read) {
         return tl::unexpected<error>(read.error());
--- a/tools/programs/lovage-load/options.h
+++ b/tools/programs/lovage-load/options.h
@@ -52,7 +52,7 @@
     std::string key_prefix;
     std::uint64_t seed = 1;
     /// Requests in total; 0 for no limit.
-    std::uint64_t requests = 100;
+    std::uint64_t requests = 0;
     /// Time during which requests are started; 0 for no limit.
     milliseconds duration{0};
     /// Most requests that are open at a time.
