Let a queued request ask for targets that refused it before

What callers saw: requests to a model waited without end while its engines were idle.

Cause: a request that a busy agent refuses excludes this target for 100 ms and is queued with the exclusion. When it asked again every 500 ms, the scheduler answered from the queue and kept the first exclusions. If they cover all targets of the version, the first request of the queue is never granted one, and the requests behind it wait as well. A version on one target, as the new version of a move is at first, needs one refusal for it.

Change: a queued request that asks again replaces its requirements and free targets are granted at once.

Evidence: the new table fails before (18 of 32 assertions) and passes after.

Conclusion: the queue is blocked for at most the 500 ms between two requests of the first one, in place of without end. That is longer than the exclusion and could be shortened to its end.

--- a/include/lovage/traffic/dispatch_scheduler.h
+++ b/include/lovage/traffic/dispatch_scheduler.h
@@ -43,7 +43,7 @@
     /// Returns a target and counts the request in flight there, or `nullopt` if the request is queued. Fails
     /// with `overloaded` if the queue has no room for it, and with `deadline_unreachable` if it cannot start
     /// in time; in both cases it was not dispatched. If a request with the same ticket is queued already,
-    /// returns the state of that one.
+    /// that one takes over the need of `request`, and its state is returned.
     result<std::optional<node_id>> acquire(dispatch_request request, time_point now);
 
     /// Removes a request from the queue and releases a target that was granted to it but not acquired yet.
--- a/src/traffic/dispatch_scheduler.cpp
+++ b/src/traffic/dispatch_scheduler.cpp
@@ -12,7 +12,12 @@
 
 result<std::optional<node_id>> dispatch_scheduler::acquire(dispatch_request request, time_point now) {
     const std::lock_guard lock(m_mutex);
-    if (m_waiting.count(request.place.ticket) > 0) {
+    const auto waiting = m_waiting.find(request.place.ticket);
+    if (waiting != m_waiting.end()) {
+        // Exclusions of targets end with time. The first request of the queue would block it for ever with
+        // old ones.
+        waiting->second.request.need = std::move(request.need);
+        grant_waiting(m_versions[waiting->second.version], now);
         return poll_waiting(request.place.ticket);
     }
     const auto version = m_versions.find({request.need.model, request.need.version});
--- a/tests/unit/dispatch_scheduler_test.cpp
+++ b/tests/unit/dispatch_scheduler_test.cpp
@@ -14,19 +14,24 @@
 struct scheduler_fixture {
     explicit scheduler_fixture(std::uint32_t slots, std::size_t max_queued = 100) {
         targets = std::make_shared<target_table>(routing_policy::two_choices, "a", 1);
+        connect(slots);
+        scheduler = std::make_unique<dispatch_scheduler>(targets, max_queued,
+                                                         [](const std::function<void()>& wake) { wake(); });
+    }
+
+    void connect(std::uint32_t slots) const {
         targets->set_connected("t", 1);
         load_report_message report;
         report.engine_up = true;
         report.slots = slots;
         report.loaded = {{"m", "v1", ""}};
         targets->set_report("t", report, k_start);
-        scheduler = std::make_unique<dispatch_scheduler>(targets, max_queued,
-                                                         [](const std::function<void()>& wake) { wake(); });
     }
 
     result<std::optional<node_id>> ask(queue_ticket ticket, const std::string& organisation,
-                                       bool is_resume = false) {
+                                       bool is_resume = false, std::vector<node_id> excluded = {}) {
         dispatch_request request;
+        request.need.excluded = std::move(excluded);
         request.need.model = "m";
         request.need.version = "v1";
         request.need.is_resume = is_resume;
@@ -80,6 +85,45 @@
     CHECK(*fixture.ask(3, "a") == "t");
 }
 
+struct refused_case {
+    const char* name;
+    bool is_resume;
+    // Whether a target is free when the request asks again, or only after that.
+    bool is_free_when_asked;
+};
+
+// Guards against a version that gets no requests any more: its only target refused the first request of the
+// queue, and the queue waited for another target although that one took requests again.
+TEST_CASE("a request that was refused gets the target after the exclusion has ended") {
+    const auto test = GENERATE(from_range(std::vector<refused_case>{
+        {"new request, target free", false, true},
+        {"new request, target free later", false, false},
+        {"resume, target free", true, true},
+        {"resume, target free later", true, false},
+    }));
+    CAPTURE(test.name);
+    scheduler_fixture fixture(1);
+    CHECK(*fixture.ask(1, "a", test.is_resume, {"t"}) == std::nullopt);
+    CHECK(*fixture.ask(2, "a") == std::nullopt);
+    fixture.scheduler->on_capacity(k_start);
+    CHECK(fixture.woken.empty());
+    if (test.is_free_when_asked) {
+        CHECK(*fixture.ask(1, "a", test.is_resume) == "t");
+    } else {
+        fixture.targets->set_connected("t", 0);
+        CHECK(*fixture.ask(1, "a", test.is_resume) == std::nullopt);
+        fixture.connect(1);
+        fixture.scheduler->on_capacity(k_start);
+        CHECK(fixture.woken == std::set<queue_ticket>{1});
+        CHECK(*fixture.ask(1, "a", test.is_resume) == "t");
+    }
+    fixture.targets->release("t");
+    fixture.scheduler->on_capacity(k_start);
+    CHECK(fixture.woken.count(2) == 1);
+    CHECK(*fixture.ask(2, "a") == "t");
+    CHECK(fixture.scheduler->waiting() == 0);
+}
+
 // Guards against starvation of other organisations by one that fills the queue.
 TEST_CASE("a full queue refuses the flooding organisation") {
     scheduler_fixture fixture(1, 5);
