--- a/include/lovage/traffic/version_evidence.h
+++ b/include/lovage/traffic/version_evidence.h
@@ -23,8 +23,8 @@
     std::uint64_t answers = 0;
 };
 
-/// Observations of this process about services whose version is being rolled out (a move). Accessed only by
-/// the traffic thread.
+/// Observations of this process: the evidence about services whose version is being rolled out (a move), and
+/// baselines of all services. Accessed only by the traffic thread.
 struct version_observer {
     evidence_recorder evidence;
     /// By service and route.
--- a/src/traffic/version_evidence.cpp
+++ b/src/traffic/version_evidence.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint64_t k_min_baseline_answers = 10;
 // Weight of a new answer in the running means.
 constexpr double k_mean_weight = 0.05;
+// Number of baselines at which all start anew, since routes that were removed from the configuration leave
+// theirs behind. It is well above the routes of a configuration.
+constexpr std::size_t k_max_baselines = 10'000;
 
 double to_fractional_ms(time_point::duration duration) {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -34,23 +37,33 @@
 struct observation {
     evidence_key key;
     bool is_usual = true;
+    bool is_evaluated = false;
     baseline_latency* baseline = nullptr;
 };
 
-// Returns `nullopt` if the service is not being evaluated. All versions except the one that is rolled out
-// count as the usual version.
-std::optional<observation> make_observation(gateway_traffic& traffic, const observed_answer& answer) {
+// All versions except one that is rolled out or was reverted count as the usual version. The baseline is kept
+// between moves, since a move of a service with few requests ends before each process has one.
+observation make_observation(gateway_traffic& traffic, const observed_answer& answer) {
     const auto* split = find_split(traffic, answer.service);
-    if (split == nullptr || !split->is_evaluated) {
-        return std::nullopt;
-    }
     observation made;
-    made.is_usual = answer.version != split->version;
+    made.is_evaluated = split != nullptr && split->is_evaluated;
+    const bool has_landed = split != nullptr && !split->is_evaluated && split->share >= 1.0;
+    made.is_usual = split == nullptr || has_landed || answer.version != split->version;
     made.key = {answer.service, made.is_usual ? std::string() : answer.version, answer.route};
-    made.baseline = &traffic.versions.baselines[{answer.service, answer.route}];
+    auto& baselines = traffic.versions.baselines;
+    if (baselines.size() >= k_max_baselines) {
+        baselines.clear();
+    }
+    made.baseline = &baselines[{answer.service, answer.route}];
     return made;
 }
 
+void record_evidence(gateway_traffic& traffic, const observation& made, evidence_event_kind kind) {
+    if (made.is_evaluated) {
+        traffic.versions.evidence.record(made.key, kind);
+    }
+}
+
 } // namespace
 
 const version_split* find_split(const gateway_traffic& traffic, const std::string& service) {
@@ -85,45 +98,39 @@
 
 void observe_first_event(gateway_traffic& traffic, const observed_answer& answer,
                          time_point::duration waited) {
-    if (const auto made = make_observation(traffic, answer)) {
-        auto& baseline = *made->baseline;
-        const bool is_slow = compare_and_update_mean(baseline.first_ms, baseline.answers,
-                                                     to_fractional_ms(waited), made->is_usual);
-        baseline.answers += made->is_usual ? 1 : 0;
-        traffic.versions.evidence.record(made->key, is_slow ? evidence_event_kind::slow_first_token
-                                                            : evidence_event_kind::first_token);
-    }
+    const auto made = make_observation(traffic, answer);
+    auto& baseline = *made.baseline;
+    const bool is_slow =
+        compare_and_update_mean(baseline.first_ms, baseline.answers, to_fractional_ms(waited), made.is_usual);
+    baseline.answers += made.is_usual ? 1 : 0;
+    record_evidence(traffic, made,
+                    is_slow ? evidence_event_kind::slow_first_token : evidence_event_kind::first_token);
 }
 
 void observe_overdue(gateway_traffic& traffic, const observed_answer& answer, bool has_begun) {
-    if (const auto made = make_observation(traffic, answer)) {
-        traffic.versions.evidence.record(made->key, has_begun ? evidence_event_kind::slow_gap
-                                                              : evidence_event_kind::slow_first_token);
-    }
+    record_evidence(traffic, make_observation(traffic, answer),
+                    has_begun ? evidence_event_kind::slow_gap : evidence_event_kind::slow_first_token);
 }
 
 void observe_gap(gateway_traffic& traffic, const observed_answer& answer, time_point::duration mean_gap) {
-    if (const auto made = make_observation(traffic, answer)) {
-        if (compare_and_update_mean(made->baseline->gap_ms, made->baseline->answers,
-                                    to_fractional_ms(mean_gap), made->is_usual)) {
-            traffic.versions.evidence.record(made->key, evidence_event_kind::slow_gap);
-        }
+    const auto made = make_observation(traffic, answer);
+    if (compare_and_update_mean(made.baseline->gap_ms, made.baseline->answers, to_fractional_ms(mean_gap),
+                                made.is_usual)) {
+        record_evidence(traffic, made, evidence_event_kind::slow_gap);
     }
 }
 
 void observe_completion(gateway_traffic& traffic, const observed_answer& answer, time_point::duration taken) {
     const auto made = make_observation(traffic, answer);
-    if (made && made->is_usual) {
-        auto& mean = made->baseline->whole_ms;
+    if (made.is_usual) {
+        auto& mean = made.baseline->whole_ms;
         mean =
             mean <= 0.0 ? to_fractional_ms(taken) : mean + k_mean_weight * (to_fractional_ms(taken) - mean);
     }
 }
 
 void observe_failure(gateway_traffic& traffic, const observed_answer& answer) {
-    if (const auto made = make_observation(traffic, answer)) {
-        traffic.versions.evidence.record(made->key, evidence_event_kind::failure);
-    }
+    record_evidence(traffic, make_observation(traffic, answer), evidence_event_kind::failure);
 }
 
 bool is_evaluating_version(const gateway_traffic& traffic) {
--- a/tests/unit/version_move_test.cpp
+++ b/tests/unit/version_move_test.cpp
@@ -440,6 +440,51 @@
     }
 }
 
+struct baseline_case {
+    const char* name;
+    int answers_before;
+    int bad_answers_after_revert;
+    int answers_during;
+    std::uint64_t slow;
+};
+
+// Guards against a slow version that lands because each process has too few answers of the usual version
+// since the order to compare with, and against a baseline that contains answers of a reverted version.
+TEST_CASE("a slow version is compared with answers from before its order") {
+    const auto test = GENERATE(from_range(std::vector<baseline_case>{
+        {"answers before the order", 20, 0, 0, 1},
+        {"few answers before and during", 6, 0, 6, 1},
+        {"an earlier version was reverted", 20, 20, 0, 1},
+        {"no answers", 0, 0, 0, 0},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    const auto publish = [&gateway](const std::string& version, double share, bool is_evaluated) {
+        auto view = std::make_shared<gateway_view>();
+        version_split split;
+        split.version = version;
+        split.share = share;
+        split.is_evaluated = is_evaluated;
+        view->splits["s"] = split;
+        apply_view(gateway.traffic, view);
+    };
+    const auto answer = [&gateway](const std::string& version, int count, milliseconds time) {
+        for (int i = 0; i < count; ++i) {
+            observe_first_event(gateway.traffic, {"s", "r", version}, time);
+        }
+    };
+    answer("v1", test.answers_before, milliseconds(100));
+    CHECK(gateway.traffic.versions.evidence.report().items.empty());
+    publish("v2", 0.0, false);
+    answer("v2", test.bad_answers_after_revert, milliseconds(900));
+    publish("v3", 0.5, true);
+    answer("v1", test.answers_during, milliseconds(100));
+    answer("v3", 1, milliseconds(400));
+    for (const auto& item : gateway.traffic.versions.evidence.report().items) {
+        CHECK(item.slow_first_tokens == (item.version == "v3" ? test.slow : 0));
+    }
+}
+
 } // namespace
 
 } // namespace lovage
