Repeat the id in the refusals of the stand-ins

Cause: the stand-ins' 421 and 503 had no id, unlike the servers that they stand in for, which repeat the id in every answer. Since a refusal without an id is no longer believed, the stand-ins would not have shown a refusal that counts.

Change: their refusals repeat the id. No check is changed.

--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -214,6 +214,9 @@
     def reply_headers(self, request):
         return [("Request-Id", request.headers.get("request-id", "")), ("Response-Seal", "seal." + self.id)]
 
+    def refusal_headers(self, request):
+        return self.reply_headers(request)[:1]
+
     def record_run(self, request):
         self.runs[request.headers["request-id"]] = self.runs.get(request.headers["request-id"], 0) + 1
         self.world.keys_seen.add(request.headers.get("authorization", ""))
@@ -240,7 +243,7 @@
 
     async def handle(self, request, writer):
         if request.headers.get("expect-instance") != self.id:
-            writer.write(answer(421, headers=[("Instance-Id", self.id)]))
+            writer.write(answer(421, headers=[("Instance-Id", self.id)] + self.refusal_headers(request)))
             return True
         self.record_run(request)
         if self.endless:
@@ -296,11 +299,11 @@
     async def stream(self, request, writer):
         headers, request_id = request.headers, request.headers["request-id"]
         if headers.get("expect-instance") != self.id:
-            writer.write(answer(421, headers=[("Instance-Id", self.id)]))
+            writer.write(answer(421, headers=[("Instance-Id", self.id)] + self.refusal_headers(request)))
             return True
         source = headers.get("kv-from")
         if source is not None and self.copies.pop(source.split("/", 1)[1], None) is None:
-            writer.write(answer(503, headers=[("Not-Executed", "1")]))
+            writer.write(answer(503, headers=[("Not-Executed", "1")] + self.refusal_headers(request)))
             return True
         self.record_run(request)
         done = int(headers.get("last-event-id", "0"))
