Send a target that states that it is leaving no new work (DRAIN)

What callers could see: requests sent to a target long after its answers had said that it was leaving, and lost with it, while the store's entry still said ready, was stale, or had lapsed and returned.

Cause: only the entry was believed; "Server-Leaving" was not read.

Change: the header is decoded in platform/ into answer_head::is_leaving. The traffic thread keeps a notice per target (core/target_notice), apart from the load of targets, which is dropped when an entry lapses; a notice without an entry is dropped after an hour. A target with such a notice is neither a candidate for requests, standby copies and prompt searches nor a holder to resume from, until its id starts anew. Requests in progress there go on. The header is passed on to the caller as before. A notice is believed only from an answer with the request's id, and not from another target that has the address.

Evidence before: "a target whose answer says that it leaves gets no further request" failed in "entry stays" and "entry lapses and returns"; "a target that leaves keeps its streams ..." resumed at the leaving holder; the codec's table failed.

Conclusion: a leaving target's own word goes before its entry.

--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -89,6 +89,10 @@
     bool is_not_run = false;
     /// Whether another target now uses the address, which did not run the request.
     bool is_other_target = false;
+    /// Whether the target states that it is about to leave.
+    bool is_leaving = false;
+    /// How long the target wants no further requests from this process, if it states so in a refusal.
+    std::optional<milliseconds> pause;
     std::optional<reported_load> load;
 };
 
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -6,6 +6,7 @@
 #include "lovage/core/retry_window.h"
 #include "lovage/core/shutdown_plan.h"
 #include "lovage/core/target_choice.h"
+#include "lovage/core/target_notice.h"
 #include "lovage/ports/target_port.h"
 #include "lovage/ports/timer_port.h"
 #include "lovage/traffic/admission_queue.h"
@@ -63,6 +64,9 @@
     std::function<boot_time()> boot_clock;
     gateway_view_ptr view = std::make_shared<gateway_view>();
     std::unordered_map<std::string, target_usage> usage;
+    /// What targets have asked of this process, by target id. Kept while a target has no entry in the view,
+    /// since entries may lapse and return.
+    std::unordered_map<std::string, target_notice> notices;
     std::unordered_map<std::string, retry_window> retries;
     /// Generations that wait for an engine with memory, by service.
     std::unordered_map<std::string, admission_queue> admission;
@@ -82,16 +86,23 @@
 /// Replaces the view and drops the state of targets that are no longer in it.
 void apply_view(gateway_traffic& traffic, gateway_view_ptr view);
 
-/// Returns the ready targets of one side of a service (its usual version, or the one that is rolled out) with
-/// the load that this process and its peers place on them. If that side has none, returns the targets of the
-/// other side, provided that it may take the requests.
+/// Returns the ready targets of one side of a service (its usual version, or the one that is rolled out) that
+/// accept requests, with the load that this process and its peers place on them. If that side has none,
+/// returns the targets of the other side, provided that it may take the requests.
 std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service,
                                             version_side side);
 
-/// Returns the record of a ready target; null if it is gone or draining.
+/// Returns the record of a ready target that accepts requests; null if there is none.
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
                                        const std::string& id);
 
+/// Records what the target that started at `started_ms` asks of this process in an answer.
+void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
+                    const answer_head& head);
+
+/// Whether a target may get new work of this process.
+bool accepts_requests(const gateway_traffic& traffic, const target_record& target);
+
 /// Records a failure of a target and of its zone, and reports it to the peers. A replaced target does not
 /// count against its zone.
 void record_and_report_failure(gateway_traffic& traffic, const std::string& service, const std::string& zone,
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -75,6 +75,8 @@
         std::string zone;
         std::string address;
         std::string version;
+        /// The target's `started_ms`.
+        std::uint64_t target_started_ms = 0;
         standby_copy copy;
         bool from_copy = false;
         time_point started{};
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -28,7 +28,7 @@
     for (const auto& target : found->second) {
         const bool is_on_side =
             split == nullptr || is_eligible_for_side(*split, side, target.id, target.version);
-        if (target.phase == target_phase::ready && is_on_side) {
+        if (target.phase == target_phase::ready && is_on_side && accepts_requests(traffic, target)) {
             candidates.push_back({&target, traffic.usage[target.id]});
             auto& usage = candidates.back().usage;
             const auto from_peers = sum_peer_usage(traffic, target.id);
@@ -44,6 +44,27 @@
 
 } // namespace
 
+void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
+                    const answer_head& head) {
+    const auto now = traffic.timers.now();
+    if (head.is_leaving) {
+        auto& notice = traffic.notices[target_id];
+        const bool is_new = !notice.is_leaving || notice.started_ms != started_ms;
+        record_leaving(notice, started_ms, now);
+        if (is_new) {
+            traffic.sink.log(log_level::info, "target_leaving",
+                             {{"target", target_id},
+                              {"started_ms", std::to_string(started_ms)},
+                              {"view", std::to_string(traffic.view->sequence)}});
+        }
+    }
+}
+
+bool accepts_requests(const gateway_traffic& traffic, const target_record& target) {
+    const auto notice = traffic.notices.find(target.id);
+    return notice == traffic.notices.end() || accepts_requests(notice->second, target, traffic.timers.now());
+}
+
 void record_and_report_failure(gateway_traffic& traffic, const std::string& service, const std::string& zone,
                                const std::string& target_id, target_failure_kind kind) {
     const auto now = traffic.timers.now();
@@ -123,6 +144,11 @@
             known.insert(target.id);
         }
     }
+    const auto now = traffic.timers.now();
+    for (auto entry = traffic.notices.begin(); entry != traffic.notices.end();) {
+        const bool is_dropped = known.count(entry->first) == 0 && is_obsolete(entry->second, now);
+        entry = is_dropped ? traffic.notices.erase(entry) : std::next(entry);
+    }
     for (const auto& [service, list] : *before->targets) {
         for (const auto& target : list) {
             const auto used = traffic.usage.find(target.id);
@@ -160,8 +186,9 @@
     }
     const auto target = std::find_if(found->second.begin(), found->second.end(),
                                      [&id](const target_record& record) { return record.id == id; });
-    const bool is_ready = target != found->second.end() && target->phase == target_phase::ready;
-    return is_ready ? &*target : nullptr;
+    const bool is_usable = target != found->second.end() && target->phase == target_phase::ready &&
+                           accepts_requests(traffic, *target);
+    return is_usable ? &*target : nullptr;
 }
 
 bool can_trust_keys(const gateway_traffic& traffic) {
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -53,6 +53,9 @@
         end_attempt(attempt_end::broken, "the answer belongs to another request");
         return;
     }
+    if (!head.is_other_target) {
+        record_notices(m_traffic, current.target_id, current.target_started_ms, head);
+    }
     if (head.load) {
         record_target_load(m_traffic.usage[current.target_id], head.load->running + head.load->waiting,
                            m_traffic.timers.now());
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -135,6 +135,7 @@
     next.zone = record->zone;
     next.address = record->address;
     next.version = record->version;
+    next.target_started_ms = record->started_ms;
     next.from_copy = from_copy;
     next.started = want.now;
     next.timing.last = want.now;
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -29,6 +29,27 @@
     return received;
 }
 
+struct notice_case {
+    const char* name;
+    int status;
+    std::vector<header_field> fields;
+    bool is_leaving;
+};
+
+// Guards against a target's notice that is missed, or read from a field that does not state one.
+TEST_CASE("an answer's notice of leaving is decoded") {
+    const auto test = GENERATE(from_range(std::vector<notice_case>{
+        {"none", 200, {}, false},
+        {"leaving", 200, {{"server-leaving", "1"}}, true},
+        {"not leaving", 200, {{"Server-Leaving", "0"}}, false},
+    }));
+    CAPTURE(test.name);
+    const auto codec = platform::make_request_codec();
+    const auto head = codec.decode_answer(test.status, "", test.fields, {});
+    CHECK(head.is_leaving == test.is_leaving);
+    CHECK(head.fields == test.fields);
+}
+
 struct priority_case {
     std::optional<std::int64_t> rank;
     const char* last_event_id;
