--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -103,6 +103,10 @@
 /// Whether a target may get new work of this process.
 bool accepts_requests(const gateway_traffic& traffic, const target_record& target);
 
+/// Returns when the first ready target of a service accepts requests again, if all of them have asked this
+/// process to pause.
+std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service);
+
 /// Records a failure of a target and of its zone, and reports it to the peers. A replaced target does not
 /// count against its zone.
 void record_and_report_failure(gateway_traffic& traffic, const std::string& service, const std::string& zone,
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -58,6 +58,10 @@
                               {"view", std::to_string(traffic.view->sequence)}});
         }
     }
+    if (head.pause) {
+        record_pause(traffic.notices[target_id], *head.pause, now);
+        traffic.sink.count("gateway_target_pauses", "refused");
+    }
 }
 
 bool accepts_requests(const gateway_traffic& traffic, const target_record& target) {
@@ -65,6 +69,21 @@
     return notice == traffic.notices.end() || accepts_requests(notice->second, target, traffic.timers.now());
 }
 
+std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service) {
+    if (!traffic.view->targets || traffic.view->targets->count(service) == 0) {
+        return std::nullopt;
+    }
+    std::vector<time_point> ends;
+    for (const auto& target : traffic.view->targets->at(service)) {
+        const auto found = traffic.notices.find(target.id);
+        const auto notice = found != traffic.notices.end() ? found->second : target_notice{};
+        if (target.phase == target_phase::ready && !is_leaving(notice, target)) {
+            ends.push_back(notice.paused_until);
+        }
+    }
+    return earliest_end(ends, traffic.timers.now());
+}
+
 void record_and_report_failure(gateway_traffic& traffic, const std::string& service, const std::string& zone,
                                const std::string& target_id, target_failure_kind kind) {
     const auto now = traffic.timers.now();
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -363,6 +363,11 @@
 
 milliseconds proxied_request::retry_after_of(error_kind kind) {
     switch (kind) {
+    case error_kind::no_target:
+    case error_kind::target_busy: {
+        const auto end = end_of_pause(m_traffic, m_service_name);
+        return end ? return_after_pause(*end, m_traffic.timers.now()) : k_retry_after;
+    }
     case error_kind::leaving:
         return shutdown_retry_after(m_traffic);
     case error_kind::overloaded: {
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -34,19 +34,29 @@
     int status;
     std::vector<header_field> fields;
     bool is_leaving;
+    std::optional<milliseconds> pause;
 };
 
 // Guards against a target's notice that is missed, or read from a field that does not state one.
-TEST_CASE("an answer's notice of leaving is decoded") {
+TEST_CASE("an answer's notices of leaving and pausing are decoded") {
     const auto test = GENERATE(from_range(std::vector<notice_case>{
-        {"none", 200, {}, false},
-        {"leaving", 200, {{"server-leaving", "1"}}, true},
-        {"not leaving", 200, {{"Server-Leaving", "0"}}, false},
+        {"none", 200, {}, false, std::nullopt},
+        {"leaving", 200, {{"server-leaving", "1"}}, true, std::nullopt},
+        {"not leaving", 200, {{"Server-Leaving", "0"}}, false, std::nullopt},
+        {"whole seconds", 503, {{"Retry-After", "2"}}, false, milliseconds(2'000)},
+        {"a fraction", 503, {{"Retry-After", "0.75"}}, false, milliseconds(750)},
+        {"both", 503, {{"Retry-After", "1"}, {"Server-Leaving", "1"}}, true, milliseconds(1'000)},
+        {"huge", 503, {{"Retry-After", "1e300"}}, false, std::chrono::hours(24)},
+        {"negative", 503, {{"Retry-After", "-1"}}, false, std::nullopt},
+        {"infinite", 503, {{"Retry-After", "inf"}}, false, std::nullopt},
+        {"no number", 503, {{"Retry-After", "soon"}}, false, std::nullopt},
+        {"not a refusal", 429, {{"Retry-After", "2"}}, false, std::nullopt},
     }));
     CAPTURE(test.name);
     const auto codec = platform::make_request_codec();
     const auto head = codec.decode_answer(test.status, "", test.fields, {});
     CHECK(head.is_leaving == test.is_leaving);
+    CHECK(head.pause == test.pause);
     CHECK(head.fields == test.fields);
 }
 
