Test answers that end with their connection

Cause: no fault found. Nothing tested that an answer without a length is complete when its connection ends, and is not when it is reset or its framing states more.

Change: a table over real sockets (plain bodies and streams: ended, reset, cut, followed by more bytes) checks completeness and that the connection is not reused; a second one checks that a stream which ends inside an event is broken off. The scripted server can reset a connection.

--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -11,10 +11,11 @@
 namespace lovage::testing {
 
 /// What a `scripted_server` does on one connection: for each request head that it reads, it sends the next
-/// text; after the last one it closes the connection, or keeps it open.
+/// text; after the last one it closes or resets the connection, or keeps it open.
 struct scripted_connection {
     std::vector<std::string> answers;
     bool stays_open = false;
+    bool is_reset = false;
 };
 
 /// A target on loopback that serves one scripted connection after the other. Requests have no body.
@@ -55,6 +56,12 @@
                 return;
             }
             serve(socket, planned);
+            if (planned.is_reset) {
+                // Closing with a linger time of 0 resets the connection.
+                boost::system::error_code ignored;
+                socket.set_option(tcp::socket::linger(true, 0), ignored);
+                socket.close(ignored);
+            }
             if (planned.stays_open) {
                 open.push_back(std::move(socket));
             }
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -421,6 +421,33 @@
     CHECK(gateway.traffic.requests.empty());
 }
 
+struct stream_end_case {
+    const char* name;
+    std::string tail;
+    bool is_complete;
+};
+
+// Guards against a stream that ends inside an event and is passed on as complete.
+TEST_CASE("a stream is complete only if it ends after a whole event") {
+    const auto test = GENERATE(from_range(std::vector<stream_end_case>{
+        {"after an event", "", true},
+        {"after a comment", ": alive\n\n", true},
+        {"inside a line", "id: 2\nda", false},
+        {"before the empty line", "id: 2\ndata: x\n", false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 1, 1);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(fake_gateway::head(200));
+    first->events.on_body(fake_gateway::event(1) + test.tail);
+    first->events.on_end();
+    CHECK(gateway.caller.is_finished == test.is_complete);
+    CHECK(gateway.caller.is_aborted == !test.is_complete);
+    CHECK(gateway.caller.body == fake_gateway::event(1) + (test.is_complete ? test.tail : ""));
+}
+
 struct large_answer_case {
     const char* name;
     request_kind kind;
--- a/tests/unit/target_pool_test.cpp
+++ b/tests/unit/target_pool_test.cpp
@@ -181,6 +181,48 @@
     CHECK(server.requests().size() == 2);
 }
 
+struct framing_case {
+    const char* name;
+    /// Fields that frame the body, and the bytes after the head.
+    std::string fields;
+    std::string bytes;
+    bool is_reset;
+    /// Whether the answer is complete; otherwise it has been broken off.
+    bool is_complete;
+    std::string body;
+};
+
+// Guards against an answer that is cut short and passed on as complete, one that ends with its connection and
+// is lost, and a connection that is reused after its end.
+TEST_CASE("an answer is complete only at the end that its framing states") {
+    const std::string chunks = "Transfer-Encoding: chunked\r\n";
+    const auto test = GENERATE_COPY(from_range(std::vector<framing_case>{
+        {"plain body, ended", "", "whole", false, true, "whole"},
+        {"plain body, reset", "", "who", true, false, ""},
+        {"empty body, ended", "", "", false, true, ""},
+        {"no length, keep-alive", "Connection: keep-alive\r\n", "whole", false, true, "whole"},
+        {"large body, ended", "", std::string(200'000, 'x'), false, true, std::string(200'000, 'x')},
+        {"stream, ended", "Content-Type: text/event-stream\r\n", "id: 1\n\n", false, true, "id: 1\n\n"},
+        {"stream, reset", "Content-Type: text/event-stream\r\n", "id: 1\n\n", true, false, ""},
+        {"length, cut", "Content-Length: 9\r\n", "whole", false, false, ""},
+        {"length, more bytes", "Content-Length: 5\r\n", "wholeHTTP/1.1 200 OK\r\n", false, true, "whole"},
+        {"chunks, cut", chunks, "5\r\nwhole\r\n", false, false, ""},
+        {"chunks, more bytes", chunks, "5\r\nwhole\r\n0\r\n\r\nmore", false, true, "whole"},
+    }));
+    CAPTURE(test.name);
+    const auto first_answer = "HTTP/1.1 200 OK\r\nRequest-Id: id\r\n" + test.fields + "\r\n" + test.bytes;
+    scripted_server server({{{first_answer}, false, test.is_reset}, {{k_second_answer}, false}});
+    pool_client client;
+    const auto first = client.send(server.address());
+    CAPTURE(first.detail);
+    CHECK(first.is_complete == test.is_complete);
+    CHECK((first.failure == attempt_end::broken) == !test.is_complete);
+    CHECK((!test.is_complete || first.body == test.body));
+    const auto second = client.send(server.address());
+    CHECK(second.body == "ex");
+    CHECK(server.requests().size() == 2);
+}
+
 } // namespace
 
 } // namespace lovage
