Send a canary only requests whose answers can be compared (EXPOSURE)

Operators saw: where the order comes soon after the start of the processes, or a service has little traffic for each process and route, a version four times slower was landed and kept.

Cause: a process without a baseline for a route (10 answers) still sends requests of the route to the version, and their answers count as judged and good. A killed process starts without baselines too.

Change: until a process has the baseline of a route, it sends the route's requests to the usual version. Failures of the usual version count for it, so that a version can replace one that only fails. Once the version gets everything, nothing is held back. Regression test: "a canary gets requests only where its answers can be compared" (failed on two of five rows before).

--- a/include/lovage/traffic/version_evidence.h
+++ b/include/lovage/traffic/version_evidence.h
@@ -21,6 +21,7 @@
     double gap_ms = 0.0;
     double whole_ms = 0.0;
     std::uint64_t answers = 0;
+    std::uint64_t failures = 0;
 };
 
 /// Observations of this process: the evidence about services whose version is being rolled out (a move), and
@@ -42,9 +43,10 @@
 const version_split* find_split(const gateway_traffic& traffic, const std::string& service);
 
 /// Chooses the side of a new request (usual or moved version) by a hash of its id, in proportion to the
-/// split.
+/// split. While this process has too few answers of the usual version on the route to compare with, all
+/// requests go to the usual side unless the version gets everything.
 version_side choose_version_side(const gateway_traffic& traffic, const std::string& service,
-                                 const std::string& request_id);
+                                 const std::string& route, const std::string& request_id);
 
 /// Returns the time after which an answer without a first event counts as slow, or `nullopt` if the service
 /// is not being evaluated or has no baseline yet.
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -83,7 +83,7 @@
         refuse(error_kind::prompt_quarantined, k_quarantined_detail);
         return;
     }
-    m_side = choose_version_side(m_traffic, m_service_name, m_request.forwarded->id);
+    m_side = choose_version_side(m_traffic, m_service_name, m_route->name, m_request.forwarded->id);
     record_first_send(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
     if (has_previous_answer()) {
         find_cached_prompt();
--- a/src/traffic/version_evidence.cpp
+++ b/src/traffic/version_evidence.cpp
@@ -58,6 +58,11 @@
     return made;
 }
 
+// A version is better than one that only fails, whatever its latency.
+bool can_be_compared(const baseline_latency& baseline) {
+    return baseline.answers + baseline.failures >= k_min_baseline_answers;
+}
+
 void record_evidence(gateway_traffic& traffic, const observation& made, evidence_event_kind kind) {
     if (made.is_evaluated) {
         traffic.versions.evidence.record(made.key, kind);
@@ -72,7 +77,7 @@
 }
 
 version_side choose_version_side(const gateway_traffic& traffic, const std::string& service,
-                                 const std::string& request_id) {
+                                 const std::string& route, const std::string& request_id) {
     const auto* split = find_split(traffic, service);
     if (split == nullptr || split->share <= 0.0) {
         return version_side::usual;
@@ -80,6 +85,10 @@
     if (split->share >= 1.0) {
         return version_side::moved;
     }
+    const auto baseline = traffic.versions.baselines.find({service, route});
+    if (baseline == traffic.versions.baselines.end() || !can_be_compared(baseline->second)) {
+        return version_side::usual;
+    }
     // The hash is seeded with the move's name, so that different moves select different requests.
     const auto hash = static_cast<double>(hash_bytes(request_id, hash_bytes(split->move)));
     const double position = hash / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
@@ -130,7 +139,9 @@
 }
 
 void observe_failure(gateway_traffic& traffic, const observed_answer& answer) {
-    record_evidence(traffic, make_observation(traffic, answer), evidence_event_kind::failure);
+    const auto made = make_observation(traffic, answer);
+    made.baseline->failures += made.is_usual ? 1 : 0;
+    record_evidence(traffic, made, evidence_event_kind::failure);
 }
 
 bool is_evaluating_version(const gateway_traffic& traffic) {
--- a/tests/unit/version_move_test.cpp
+++ b/tests/unit/version_move_test.cpp
@@ -373,6 +373,16 @@
     apply_view(gateway.traffic, view);
 }
 
+// Lets the usual version answer, or fail, often enough for its answers to be a baseline.
+void add_baseline(fake_gateway& gateway, int answers, int failures) {
+    for (int i = 0; i < answers; ++i) {
+        observe_first_event(gateway.traffic, {"service", "route", "v1"}, milliseconds(100));
+    }
+    for (int i = 0; i < failures; ++i) {
+        observe_failure(gateway.traffic, {"service", "route", "v1"});
+    }
+}
+
 struct side_case {
     const char* name;
     double share;
@@ -407,6 +417,7 @@
 TEST_CASE("a canary gets at most one attempt of a request") {
     const bool has_canary = GENERATE(true, false);
     fake_gateway gateway;
+    add_baseline(gateway, 20, 0);
     publish_move(gateway, 0.999'999, {has_canary ? "t1" : "t9"});
     gateway.request();
     const auto first = gateway.attempts.at(0)->options.target_id;
@@ -418,6 +429,33 @@
     CHECK((second != "t1" && second != "t2"));
 }
 
+struct comparable_case {
+    const char* name;
+    double share;
+    int answers;
+    int failures;
+    bool is_moved;
+};
+
+// Guards against a slow version that lands because its answers count as good where nothing is known to
+// compare them with, as in a process that has just started.
+TEST_CASE("a canary gets requests only where its answers can be compared") {
+    const auto test = GENERATE(from_range(std::vector<comparable_case>{
+        {"no answers", 0.999'999, 0, 0, false},
+        {"too few answers", 0.999'999, 9, 0, false},
+        {"enough answers", 0.999'999, 10, 0, true},
+        {"the usual version fails", 0.999'999, 0, 10, true},
+        {"the version gets everything", 1.0, 0, 0, true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    add_baseline(gateway, test.answers, test.failures);
+    publish_move(gateway, test.share, {"t1"});
+    gateway.request();
+    const auto target = gateway.attempts.at(0)->options.target_id;
+    CHECK((target == "t1" || target == "t2") == test.is_moved);
+}
+
 // Guards against responses that count as slow while the latency of the baseline is unknown, or that exceed it
 // only by a small margin.
 TEST_CASE("a first event counts as slow at several times the latency of the usual version") {
