Load the new version of a move wherever the old one is loaded

The same holds for each surplus: with the old version on 4 targets, moves with 1, 2 and 3 configured replicas did not land. A surplus arises when a lost target returns after its version was loaded elsewhere.

Cause: a step of a move waits until the new version can take its share of max(replicas, targets with the old version), but the repair loads the new one on `replicas` targets only.

Change: the new version of a move in progress is wanted on as many targets as have the old one, at least on `replicas`. The planner's capacity check stays as it is. count_loaded moves to core/repair, so that both use one function.

--- a/include/lovage/core/repair.h
+++ b/include/lovage/core/repair.h
@@ -57,10 +57,16 @@
     std::uint64_t next_order = 1;
 };
 
+/// Returns how many targets have the version loaded and can take requests.
+std::uint32_t count_loaded(const std::vector<repair_target>& targets, const std::string& model,
+                           const std::string& version);
+
 /// Returns how many targets must have each version loaded: the serving version of each model, and both
-/// versions of a move that is neither landed nor reverted.
+/// versions of a move that is neither landed nor reverted. The new version of a move is wanted on at least as
+/// many targets as have the old one, because the move must not reduce the model's capacity.
 std::map<version_key, std::uint32_t> wanted_replicas(const fleet_config& config,
-                                                     const std::vector<move_record>& moves);
+                                                     const std::vector<move_record>& moves,
+                                                     const std::vector<repair_target>& targets);
 
 /// Returns the orders that are due, by agent, and records them as pending. Versions with the most requests in
 /// flight per live replica are repaired first.
--- a/src/control/move_control.cpp
+++ b/src/control/move_control.cpp
@@ -56,18 +56,6 @@
     return targets;
 }
 
-std::uint32_t count_loaded(const std::vector<repair_target>& targets, const std::string& model,
-                           const std::string& version) {
-    return static_cast<std::uint32_t>(
-        std::count_if(targets.begin(), targets.end(), [&](const repair_target& target) {
-            return target.report.engine_up && !target.report.draining &&
-                   std::any_of(target.report.loaded.begin(), target.report.loaded.end(),
-                               [&](const loaded_version& loaded) {
-                                   return loaded.model == model && loaded.version == version;
-                               });
-        }));
-}
-
 move_capacity capacity_of(const control_state& state, const move_config& move,
                           const std::vector<repair_target>& targets) {
     move_capacity capacity;
--- a/src/core/repair.cpp
+++ b/src/core/repair.cpp
@@ -137,8 +137,18 @@
 
 } // namespace
 
+std::uint32_t count_loaded(const std::vector<repair_target>& targets, const std::string& model,
+                           const std::string& version) {
+    return static_cast<std::uint32_t>(
+        std::count_if(targets.begin(), targets.end(), [&](const repair_target& target) {
+            return target.report.engine_up && !target.report.draining &&
+                   has_loaded(target.report, {model, version});
+        }));
+}
+
 std::map<version_key, std::uint32_t> wanted_replicas(const fleet_config& config,
-                                                     const std::vector<move_record>& moves) {
+                                                     const std::vector<move_record>& moves,
+                                                     const std::vector<repair_target>& targets) {
     std::map<version_key, std::uint32_t> wanted;
     for (const auto& model : config.models) {
         std::string serving = model.version;
@@ -149,7 +159,8 @@
             if (record.phase == move_phase::landed) {
                 serving = record.to;
             } else if (!is_final(record.phase)) {
-                wanted[{model.name, record.to}] = model.replicas;
+                wanted[{model.name, record.to}] =
+                    std::max(model.replicas, count_loaded(targets, model.name, record.from));
             }
         }
         wanted[{model.name, serving}] = model.replicas;
@@ -163,7 +174,7 @@
                                                            fencing_number fencing, time_point now) {
     std::vector<std::pair<node_id, order_message>> orders;
     drop_finished_orders(state, targets, now);
-    const auto wanted = wanted_replicas(config, moves);
+    const auto wanted = wanted_replicas(config, moves, targets);
     for (const auto& item : find_shortages(state, wanted, targets)) {
         for (std::uint32_t i = 0; i < item.missing && count_loads(state) < k_max_concurrent_loads; ++i) {
             const repair_target* target = choose_target(state, targets, item.key);
--- a/tests/unit/move_control_test.cpp
+++ b/tests/unit/move_control_test.cpp
@@ -37,14 +37,14 @@
     fleet_simulation(const fleet_simulation&) = delete;
     fleet_simulation& operator=(const fleet_simulation&) = delete;
 
-    void start(milliseconds until_deadline) {
+    void start(milliseconds until_deadline, std::uint32_t replicas = k_agents) {
         exchange.codecs.parse_config = [this](const std::string& document) -> result<fleet_config> {
             return configs.at(document);
         };
         exchange.codecs.encode_move = encode_move_record;
         exchange.codecs.decode_move = decode_move_record;
         fleet_config config;
-        config.models = {{"history", "v1", k_agents}};
+        config.models = {{"history", "v1", replicas}};
         configs["base"] = config;
         config.moves = {{"m", "history", "v1", "v2", move_strategy::canary,
                          exchange.wall() + milliseconds{10'000} + until_deadline}};
@@ -238,6 +238,17 @@
     }
 }
 
+// Guards against a good move that stops at the share that `replicas` targets can serve, while all targets
+// have the old version loaded.
+TEST_CASE("a good move lands whatever the surplus of the old version") {
+    const auto replicas = GENERATE(range(1U, static_cast<std::uint32_t>(k_agents) + 1));
+    CAPTURE(replicas);
+    fleet_simulation fleet(10);
+    fleet.start(milliseconds{120'000}, replicas);
+    fleet.run(milliseconds{125'000});
+    CHECK(fleet.all_show(move_phase::landed));
+}
+
 // Guards against a defective version that gets more than the canary share, or keeps getting traffic after its
 // defect is detectable.
 TEST_CASE("a version that is broken at the start gets a small share for a short time") {
--- a/tests/unit/repair_test.cpp
+++ b/tests/unit/repair_test.cpp
@@ -26,6 +26,14 @@
     const char* expected_agent;
 };
 
+struct move_replica_case {
+    const char* name;
+    std::uint32_t replicas;
+    move_phase phase;
+    void (*change)(repair_target& last_target);
+    std::size_t expected_loads;
+};
+
 } // namespace
 
 // Guards against load orders to targets that cannot load a model. Such an order to the agent of a plain
@@ -54,4 +62,41 @@
     }
 }
 
+// Guards against moves that never land because the old version is loaded on more targets than configured, for
+// example after a repair, and the new version on too few to replace it.
+TEST_CASE("a move loads the new version on as many targets as have the old one") {
+    const auto unchanged = [](repair_target&) {};
+    const auto test = GENERATE_COPY(from_range(std::vector<move_replica_case>{
+        {"as configured", 3, move_phase::loading, unchanged, 3},
+        {"surplus of the old version", 1, move_phase::loading, unchanged, 3},
+        {"surplus in the canary", 1, move_phase::canary, unchanged, 3},
+        {"surplus on a target that drains", 1, move_phase::loading,
+         [](repair_target& t) { t.report.draining = true; }, 2},
+        {"surplus on a target whose engine is down", 1, move_phase::loading,
+         [](repair_target& t) { t.report.engine_up = false; }, 2},
+        {"reverted", 1, move_phase::reverted, unchanged, 0},
+        {"landed", 1, move_phase::landed, unchanged, 1},
+    }));
+    CAPTURE(test.name);
+    fleet_config config;
+    config.models = {{"history", "v1", test.replicas}};
+    move_record record;
+    record.model = "history";
+    record.from = "v1";
+    record.to = "v2";
+    record.phase = test.phase;
+    std::vector<repair_target> targets;
+    for (const char* agent : {"a", "b", "c"}) {
+        targets.push_back(engine_of(agent, {{"history", "v1", ""}}));
+    }
+    test.change(targets.back());
+    repair_state state;
+    const auto orders = plan_orders(state, config, {record}, targets, 7, k_now);
+    CHECK(orders.size() == test.expected_loads);
+    for (const auto& [agent, order] : orders) {
+        CHECK(order.kind == order_kind::load_version);
+        CHECK(order.version.version == "v2");
+    }
+}
+
 } // namespace lovage
