Send a failure to a relay once, with its retry delay

What callers could see: a retry at once, by callers whose entry attached to the home entry between the failure of a request and the end of its session.

Cause: the failure was put together in two places; the one for an attach after the end had 0 for the retry delay. If the attach itself led to the end, the relay got the failure from both places, and a retry through it could take the second one for its own.

Change: one function sends the failure. After the end an attach is answered with it; during an attach only the end sends it.

The failure that was sent twice was found by reading and has no test of its own.

Conclusion: what a relay is told follows from the session's state.

--- a/include/lovage/traffic/answer_session.h
+++ b/include/lovage/traffic/answer_session.h
@@ -126,6 +126,7 @@
     void extend_deadline(wall_time deadline, time_point now);
     void schedule_timer(time_point now);
     void on_timer(time_point due);
+    void send_failure(const node_id& relay) const;
     bool ended() const;
     bool can_state_not_run(time_point now) const;
     attempt_ref current_ref() const;
--- a/src/traffic/answer_session.cpp
+++ b/src/traffic/answer_session.cpp
@@ -347,6 +347,10 @@
 
 void answer_session::on_attach(const node_id& from, const attach_message& message) {
     const std::lock_guard lock(m_mutex);
+    if (m_failure) {
+        send_failure(from);
+        return;
+    }
     const time_point now = monotonic_now();
     const bool holds_text = message.answer.value != 0 && !message.known.empty();
     if (m_role == session_role::relay && (!m_follows_former_home || holds_text)) {
@@ -357,7 +361,7 @@
     extend_deadline(message.spec.deadline, now);
     relay_state& relay = m_relays[from];
     relay = {};
-    if (holds_text && !m_failure) {
+    if (holds_text) {
         const bool same_answer = message.answer == m_log.answer;
         const bool replaces = m_log.answer.value == 0 || (!same_answer && !m_delivered && !m_log.finished &&
                                                           message.known.size() > m_log.tokens.size());
@@ -379,13 +383,12 @@
             relay.next = static_cast<token_index>(message.known.size());
         }
     }
-    update_abandonment(now);
-    m_next_relay_progress = now;
     if (m_failure) {
-        m_context->peers.send(
-            from, failed_message{current_ref(), m_failure->kind, m_failure->detail, m_not_run, 0});
+        // The end of the session has sent the failure to all relays.
         return;
     }
+    update_abandonment(now);
+    m_next_relay_progress = now;
     if (relay.epoch != 0) {
         m_context->peers.send(from, attach_reply_message{current_ref(), m_spec.model_version, relay.next});
     }
@@ -1000,10 +1003,8 @@
     log_decision(session_event::failed, std::string(to_string(m_failure->kind)) + ": " + m_failure->detail);
     m_retry_at.reset();
     m_adoption_deadline.reset();
-    const auto retry_after = static_cast<std::uint32_t>(m_failure->retry_after.count());
     for (const auto& [node, relay] : m_relays) {
-        m_context->peers.send(
-            node, failed_message{current_ref(), m_failure->kind, m_failure->detail, m_not_run, retry_after});
+        send_failure(node);
     }
     if (m_possible_runs > 0) {
         m_context->record_dispatched(m_start.request);
@@ -1013,6 +1014,11 @@
     m_changed.notify_all();
 }
 
+void answer_session::send_failure(const node_id& relay) const {
+    m_context->peers.send(relay, failed_message{current_ref(), m_failure->kind, m_failure->detail, m_not_run,
+                                                static_cast<std::uint32_t>(m_failure->retry_after.count())});
+}
+
 bool answer_session::ended() const {
     return m_failure.has_value() || m_log.finished;
 }
