Let the timeout of a store call include its connect

What operators could see: with a store that is slow to accept connections, a call ends after twice its timeout, and the age of the configuration is noticed late.

Cause: the connect and the exchange after it each got the whole timeout.

Change: the channel computes one deadline for both.

Conclusion: a call ends within its timeout.

--- a/src/adapters/gateway/http_channel.cpp
+++ b/src/adapters/gateway/http_channel.cpp
@@ -45,14 +45,14 @@
         stream.reset();
         buffer.clear();
     }
-    error_code connect(const tcp::endpoint& endpoint, milliseconds timeout);
-    result<channel_answer> call(const channel_request& request);
+    error_code connect(const tcp::endpoint& endpoint, time_point deadline);
+    result<channel_answer> call(const channel_request& request, time_point deadline);
 };
 
-error_code http_channel::state::connect(const tcp::endpoint& endpoint, milliseconds timeout) {
+error_code http_channel::state::connect(const tcp::endpoint& endpoint, time_point deadline) {
     error_code failure;
     stream.emplace(io);
-    stream->expires_after(timeout);
+    stream->expires_at(deadline);
     stream->async_connect(endpoint, [&failure](const error_code& outcome) { failure = outcome; });
     run();
     if (!failure) {
@@ -61,7 +61,7 @@
     return failure;
 }
 
-result<channel_answer> http_channel::state::call(const channel_request& request) {
+result<channel_answer> http_channel::state::call(const channel_request& request, time_point deadline) {
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
     message.set(http::field::host, address);
     if (!request.body.empty()) {
@@ -72,7 +72,7 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(k_max_response_bytes);
     error_code failure;
-    stream->expires_after(request.timeout);
+    stream->expires_at(deadline);
     http::async_write(*stream, message, [&](const error_code& outcome, std::size_t /*bytes*/) {
         failure = outcome;
         if (!failure) {
@@ -106,15 +106,16 @@
     if (!parsed) {
         return fail(error_kind::peer_unreachable, parsed.error().detail);
     }
+    const auto deadline = monotonic_now() + request.timeout;
     if (!m_state->stream) {
         const tcp::endpoint endpoint(asio::ip::make_address_v4(parsed->ip), parsed->port);
-        const auto failure = m_state->connect(endpoint, request.timeout);
+        const auto failure = m_state->connect(endpoint, deadline);
         if (failure) {
             m_state->close();
             return fail(error_kind::peer_unreachable, failure.message());
         }
     }
-    return m_state->call(request);
+    return m_state->call(request, deadline);
 }
 
 void http_channel::stop() {
