Wait for the first load report in the test of a draining agent

What was seen: unit_tests ended with SIGSEGV in this test, once in three full runs (beside the process tests of the gateway) and once in a loop of single runs, three at a time.

Cause: the test read the last element of the reports while there was none, if the thread that sends them had not run yet. No fault of the program.

Change: the test waits until there is a report and the last one is draining, which is as strict as before.

Evidence: with a trial delay of 300 ms before the first report the test crashes before and passes after; the crashed run failed at the same assertion, the ninth.

Conclusion: the test no longer depends on when the reporting thread starts.

--- a/tests/unit/agent_test.cpp
+++ b/tests/unit/agent_test.cpp
@@ -401,7 +401,10 @@
     fixture.engine.allow(2);
     CHECK(fixture.node->wait_idle(milliseconds(2'000)));
     CHECK(fixture.peers.sent<finished_message>(k_home).size() == 1);
-    CHECK(wait_until([&] { return fixture.peers.sent<load_report_message>(k_home).back().draining; }));
+    CHECK(wait_until([&] {
+        const auto reports = fixture.peers.sent<load_report_message>(k_home);
+        return !reports.empty() && reports.back().draining;
+    }));
     // An entry that connects during the drain is told of it too.
     fixture.connect(k_other);
     CHECK(fixture.peers.sent<goodbye_message>(k_other).size() == 1);
