Start the mean gap of the usual version at its first gap

What the test shows: after 10 answers of the usual version with gaps of 50 ms, a new version with gaps of 100 ms counts as slow, though slow means three times as long. Operators would see a good version suspected that is only busier than the usual one.

Cause: the mean starts at its first value while no answer is counted. The first gap is observed after the first event, when one answer is counted, so the mean gap starts at zero and reaches half of the true gap after about 14 answers.

Change: a mean that is zero starts at the first value. Regression test: "the mean gap is that of the usual version from its first answer on" (failed on one of four rows before).

--- a/src/traffic/version_evidence.cpp
+++ b/src/traffic/version_evidence.cpp
@@ -29,7 +29,8 @@
 bool compare_and_update_mean(double& mean, std::uint64_t answers, double value, bool is_usual) {
     const bool is_slow = answers >= k_min_baseline_answers && value > k_slow_factor * mean;
     if (is_usual) {
-        mean = answers == 0 ? value : mean + k_mean_weight * (value - mean);
+        // The first gap is observed after the first event, when `answers` is no longer 0.
+        mean = mean <= 0.0 ? value : mean + k_mean_weight * (value - mean);
     }
     return is_slow;
 }
--- a/tests/unit/version_move_test.cpp
+++ b/tests/unit/version_move_test.cpp
@@ -478,6 +478,36 @@
     }
 }
 
+struct gap_case {
+    const char* name;
+    int usual_answers;
+    milliseconds gap;
+    std::uint64_t slow;
+};
+
+// Guards against a good version that counts as slow because the mean gap of the usual version starts at zero.
+TEST_CASE("the mean gap is that of the usual version from its first answer on") {
+    const auto test = GENERATE(from_range(std::vector<gap_case>{
+        {"few answers, twice the gap", 10, milliseconds(100), 0},
+        {"few answers, four times the gap", 10, milliseconds(200), 1},
+        {"many answers, twice the gap", 200, milliseconds(100), 0},
+        {"many answers, four times the gap", 200, milliseconds(200), 1},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    publish_move(gateway, 0.5, {"t1"});
+    for (int i = 0; i < test.usual_answers; ++i) {
+        observe_first_event(gateway.traffic, {"service", "route", "v1"}, milliseconds(500));
+        observe_gap(gateway.traffic, {"service", "route", "v1"}, milliseconds(50));
+    }
+    observe_gap(gateway.traffic, {"service", "route", "v2"}, test.gap);
+    std::uint64_t slow = 0;
+    for (const auto& item : gateway.traffic.versions.evidence.report().items) {
+        slow += item.version == "v2" ? item.slow_gaps : 0;
+    }
+    CHECK(slow == test.slow);
+}
+
 struct baseline_case {
     const char* name;
     int answers_before;
