Do not take surplus bytes of the store for its next answer

What could be seen: an answer of the store that came twice, or bytes after one, were read as the answer to the process's next call: an old configuration, or a write taken as done. It was found while looking for other places that believe what comes on a kept connection; no caller reported it.

Cause: the store's channel kept what was left in its buffer for the next call, and did not look whether bytes had come while it was idle.

Change: a connection with bytes beyond its answer is closed, and one that is readable or closed while idle is replaced, as in the pool of targets.

Evidence before: "the store's channel gives each call its own answer" failed in "an answer twice" (read "first" for the second call) and "other bytes" (the call failed). After: all rows pass (113 assertions with the two tables of the pool).

Conclusion: each call of the store reads its own answer.

--- a/src/adapters/gateway/http_channel.cpp
+++ b/src/adapters/gateway/http_channel.cpp
@@ -1,5 +1,7 @@
 #include "lovage/adapters/gateway/http_channel.h"
 
+#include "target_connection.h"
+
 #include "lovage/adapters/settings.h"
 
 #include <atomic>
@@ -86,7 +88,8 @@
         return fail(error_kind::store_unavailable, failure ? failure.message() : "stopped");
     }
     channel_answer answer{static_cast<int>(parser.get().result_int()), std::move(parser.get().body())};
-    if (!parser.get().keep_alive()) {
+    // Bytes beyond the answer would be taken for the answer to the next request.
+    if (!parser.get().keep_alive() || buffer.size() > 0) {
         close();
     }
     return answer;
@@ -107,6 +110,9 @@
         return fail(error_kind::peer_unreachable, parsed.error().detail);
     }
     const auto deadline = monotonic_now() + request.timeout;
+    if (m_state->stream && !can_reuse_connection(m_state->stream->socket())) {
+        m_state->close();
+    }
     if (!m_state->stream) {
         const tcp::endpoint endpoint(asio::ip::make_address_v4(parsed->ip), parsed->port);
         const auto failure = m_state->connect(endpoint, deadline);
--- a/src/adapters/gateway/target_connection.h
+++ b/src/adapters/gateway/target_connection.h
@@ -25,6 +25,6 @@
 
 /// Whether an idle connection is still open and has received nothing. Unsolicited bytes would be taken for
 /// the response to the next request.
-bool can_reuse_connection(target_connection& connection);
+bool can_reuse_connection(boost::asio::ip::tcp::socket& socket);
 
 } // namespace lovage
--- a/src/adapters/gateway/target_pool.cpp
+++ b/src/adapters/gateway/target_pool.cpp
@@ -58,7 +58,8 @@
         }
         auto connection = std::move(*newest);
         connections.erase(std::next(newest).base());
-        if (now - connection->idle_since <= options.idle_timeout && can_reuse_connection(*connection)) {
+        if (now - connection->idle_since <= options.idle_timeout &&
+            can_reuse_connection(connection->socket)) {
             return connection;
         }
     }
