--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -83,6 +83,8 @@
         attempt_handle handle;
         bool has_head = false;
         bool has_event = false;
+        /// Whether reading is paused because of the caller's backlog.
+        bool is_reading_paused = false;
         /// Whether the connection to the target ended without a complete response.
         bool is_connection_lost = false;
         /// Whether it has been counted as slow.
@@ -191,7 +193,6 @@
     std::uint32_t m_runs = 0;
     std::uint32_t m_resumes = 0;
     delivery_phase m_delivered = delivery_phase::nothing;
-    bool m_is_reading_paused = false;
     bool m_is_done = false;
     std::string m_last_event_id;
     time_point m_last_delivery{};
--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -105,7 +105,7 @@
 }
 
 void target_exchange::write() {
-    m_phase = exchange_phase::exchanging;
+    m_phase = exchange_phase::reading_head;
     m_connection->has_carried_call_without_id |= m_request->id.empty();
     m_head_text = head_text(*m_request, m_codec.encode_attempt(*m_request, m_options));
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head_text), asio::buffer(m_request->body)};
@@ -152,6 +152,7 @@
                               end_to_end_fields(message), *m_request);
     m_events.on_head(head);
     if (!is_finished()) {
+        m_phase = exchange_phase::reading_body;
         read_body();
     }
 }
@@ -230,7 +231,7 @@
 
 void target_exchange::pause(bool paused) {
     m_is_paused = paused;
-    if (!paused && !m_is_reading && !is_finished()) {
+    if (!paused && !m_is_reading && m_phase == exchange_phase::reading_body) {
         read_body();
     }
 }
--- a/src/adapters/gateway/target_exchange.h
+++ b/src/adapters/gateway/target_exchange.h
@@ -21,10 +21,10 @@
 
 /// The progress of a `target_exchange`. Only while it is `connecting` is it certain that the target has
 /// received nothing.
-enum class exchange_phase : std::uint8_t { connecting, exchanging, finished };
-inline constexpr std::size_t k_exchange_phase_count = 3;
-inline constexpr enum_names<k_exchange_phase_count> k_exchange_phase_names{"connecting", "exchanging",
-                                                                           "finished"};
+enum class exchange_phase : std::uint8_t { connecting, reading_head, reading_body, finished };
+inline constexpr std::size_t k_exchange_phase_count = 4;
+inline constexpr enum_names<k_exchange_phase_count> k_exchange_phase_names{"connecting", "reading_head",
+                                                                           "reading_body", "finished"};
 static_assert(static_cast<std::size_t>(exchange_phase::finished) + 1 == k_exchange_phase_count);
 
 /// Sends one request to a target and reads its response.
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -101,8 +101,8 @@
             m_caller.write(std::move(current.body));
         }
     }
-    if (!m_is_reading_paused && m_caller.backlog() > k_max_write_backlog_bytes) {
-        m_is_reading_paused = true;
+    if (!current.is_reading_paused && m_caller.backlog() > k_max_write_backlog_bytes) {
+        current.is_reading_paused = true;
         current.handle.pause(true);
     }
 }
@@ -253,8 +253,8 @@
 }
 
 void proxied_request::on_caller_writable() {
-    if (m_is_reading_paused && m_attempt && m_caller.backlog() <= k_max_write_backlog_bytes / 2) {
-        m_is_reading_paused = false;
+    if (m_attempt && m_attempt->is_reading_paused && m_caller.backlog() <= k_max_write_backlog_bytes / 2) {
+        m_attempt->is_reading_paused = false;
         m_attempt->handle.pause(false);
     }
 }
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -16,6 +16,8 @@
     attempt_parameters options;
     attempt_events events;
     bool is_cancelled = false;
+    /// The arguments of the calls of `pause`, in order.
+    std::vector<bool> pauses;
 };
 
 /// The response that a caller has received.
@@ -25,6 +27,8 @@
     bool is_finished = false;
     bool is_aborted = false;
     std::vector<error_reply> replies;
+    /// Bytes that wait to be written to it.
+    std::size_t backlog = 0;
 };
 
 /// A `gateway_traffic` on simulated time, whose tests play the targets and the caller. Nothing blocks or
@@ -48,9 +52,10 @@
         };
         traffic.targets.open = [this](auto request, attempt_parameters options, attempt_events events) {
             auto attempt = std::make_shared<fake_attempt>(
-                fake_attempt{std::move(request), std::move(options), std::move(events), false});
+                fake_attempt{std::move(request), std::move(options), std::move(events), false, {}});
             attempts.push_back(attempt);
-            return attempt_handle{[attempt] { attempt->is_cancelled = true; }, [](bool) {}};
+            return attempt_handle{[attempt] { attempt->is_cancelled = true; },
+                                  [attempt](bool paused) { attempt->pauses.push_back(paused); }};
         };
         traffic.targets.close_idle_connections = [](const std::string&) {};
         traffic.sink.log = [](log_level, std::string_view, const std::vector<log_field>&) {};
@@ -135,7 +140,7 @@
         port.write = [this](const std::string& bytes) { caller.body += bytes; };
         port.finish = [this] { caller.is_finished = true; };
         port.break_off = [this] { caller.is_aborted = true; };
-        port.backlog = [] { return std::size_t{0}; };
+        port.backlog = [this] { return caller.backlog; };
         return proxied_request::start(traffic, std::move(received), std::move(port), nullptr);
     }
 
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -560,6 +560,27 @@
     CHECK(gateway.caller.replies.size() == (test.is_served ? 0 : 1));
 }
 
+// Guards against the drained backlog of an earlier attempt that resumes reading at the next one.
+TEST_CASE("the caller's backlog pauses and resumes only the attempt that filled it") {
+    const bool is_lost = GENERATE(false, true);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(fake_gateway::head(200));
+    gateway.caller.backlog = 300'000;
+    first->events.on_body(fake_gateway::event(1));
+    CHECK(first->pauses == std::vector<bool>{true});
+    if (is_lost) {
+        first->events.on_failure(attempt_end::broken, "scripted");
+        REQUIRE(gateway.attempts.size() == 2);
+    }
+    gateway.caller.backlog = 0;
+    request->on_caller_writable();
+    CHECK(first->pauses.size() == (is_lost ? 1 : 2));
+    CHECK(gateway.attempts.back()->pauses.empty() == is_lost);
+}
+
 } // namespace
 
 } // namespace lovage
--- a/tests/unit/target_pool_test.cpp
+++ b/tests/unit/target_pool_test.cpp
@@ -62,6 +62,13 @@
         return run(get_request(), std::move(parameters), address, stall);
     }
 
+    /// Starts an attempt whose reading is resumed at once, as by the drained backlog of an earlier attempt.
+    outcome send_and_resume_reading(const std::string& address) {
+        attempt_parameters parameters;
+        parameters.target_id = "t1";
+        return run(get_request(), std::move(parameters), address, milliseconds(0), true);
+    }
+
     /// Sends a request again that the target has already answered.
     outcome send_again(const std::string& address) {
         attempt_parameters parameters;
@@ -80,7 +87,7 @@
 
 private:
     outcome run(std::shared_ptr<const forwarded_request> request, attempt_parameters parameters,
-                const std::string& address, milliseconds stall) {
+                const std::string& address, milliseconds stall, bool resumes_reading = false) {
         outcome result;
         bool is_done = false;
         attempt_events events;
@@ -98,6 +105,9 @@
         parameters.address = address;
         parameters.time_left = milliseconds(2'000);
         const auto handle = m_pool->port().open(std::move(request), parameters, std::move(events));
+        if (resumes_reading) {
+            handle.pause(false);
+        }
         std::this_thread::sleep_for(stall);
         const auto deadline = monotonic_now() + std::chrono::seconds(5);
         while (!is_done && monotonic_now() < deadline) {
@@ -223,6 +233,19 @@
     CHECK(server.requests().size() == 2);
 }
 
+// Guards against a body of bytes that the target never sent: reading was resumed before the head had arrived.
+TEST_CASE("reading that is resumed before the head reads no body") {
+    const bool is_reused = GENERATE(false, true);
+    scripted_server server({{{k_answer, k_answer}, false}});
+    pool_client client;
+    if (is_reused) {
+        CHECK(client.send(server.address()).body == "ok");
+    }
+    const auto outcome = client.send_and_resume_reading(server.address());
+    CHECK(outcome.is_complete);
+    CHECK(outcome.body == "ok");
+}
+
 } // namespace
 
 } // namespace lovage
