Read the store's answers to their end while they arrive steadily (CONFIG)

Cause: a call to the store had one timeout for the whole response, 1 s beyond the time that a watch may wait. A configuration of 7,000 routes takes about 2 s on a link of 10 Mbit/s, so each attempt ended before its answer had arrived, and the next began at the first byte. The class is "slow but sound transfers are cut": a total time taken for a sign of loss.

Change: the timeout holds until the head of the response. A body may take longer as long as it arrives at 100 kB/s on average and without a pause of a second, so an answer of which a byte comes now and then still ends in time.

Test: "an answer is received as long as it arrives steadily" fails before in the row "large and slow".

--- a/include/lovage/adapters/gateway/http_channel.h
+++ b/include/lovage/adapters/gateway/http_channel.h
@@ -14,7 +14,8 @@
     std::string target;
     /// JSON text; empty for none.
     std::string body;
-    /// Timeout for connecting, if there is no open connection, and again for the request and its response.
+    /// Timeout for connecting, if there is no open connection, sending the request and receiving the head of
+    /// the response. A body may take longer while it arrives at a minimum rate without long pauses.
     milliseconds timeout{1'000};
 };
 
--- a/src/adapters/gateway/http_channel.cpp
+++ b/src/adapters/gateway/http_channel.cpp
@@ -4,6 +4,7 @@
 
 #include "lovage/adapters/settings.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -28,6 +29,18 @@
 
 // A page of the store holds about 1 MB of values; base64 and JSON make it larger.
 constexpr std::uint64_t k_max_response_bytes = 16'777'216;
+// A response body must arrive at this rate in bytes per second on average, beyond the timeout of the call.
+// The largest configuration takes about 2 s on a link of 10 Mbit/s; a timeout for the whole response would
+// make each attempt to read it fail.
+constexpr std::uint64_t k_min_body_rate = 100'000;
+// A response body that does not arrive any further for this long has been lost.
+constexpr milliseconds k_max_body_silence{1'000};
+
+// Returns when a response that has arrived up to `received_bytes` of its body times out.
+time_point body_deadline(time_point call_deadline, std::uint64_t received_bytes, time_point now) {
+    const auto allowed = milliseconds(static_cast<std::int64_t>(received_bytes * 1'000 / k_min_body_rate));
+    return std::min<time_point>(call_deadline + allowed, now + k_max_body_silence);
+}
 
 } // namespace
 
@@ -48,6 +61,8 @@
         buffer.clear();
     }
     error_code connect(const tcp::endpoint& endpoint, time_point deadline);
+    error_code send(const channel_request& request, time_point deadline);
+    error_code receive(http::response_parser<http::string_body>& parser, time_point deadline);
     result<channel_answer> call(const channel_request& request, time_point deadline);
 };
 
@@ -63,7 +78,7 @@
     return failure;
 }
 
-result<channel_answer> http_channel::state::call(const channel_request& request, time_point deadline) {
+error_code http_channel::state::send(const channel_request& request, time_point deadline) {
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
     message.set(http::field::host, address);
     if (!request.body.empty()) {
@@ -71,18 +86,38 @@
         message.body() = request.body;
     }
     message.prepare_payload();
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(k_max_response_bytes);
     error_code failure;
     stream->expires_at(deadline);
-    http::async_write(*stream, message, [&](const error_code& outcome, std::size_t /*bytes*/) {
+    http::async_write(*stream, message,
+                      [&failure](const error_code& outcome, std::size_t /*bytes*/) { failure = outcome; });
+    run();
+    return failure;
+}
+
+error_code http_channel::state::receive(http::response_parser<http::string_body>& parser,
+                                        time_point deadline) {
+    error_code failure;
+    const auto store_outcome = [&failure](const error_code& outcome, std::size_t /*bytes*/) {
         failure = outcome;
-        if (!failure) {
-            http::async_read(*stream, buffer, parser,
-                             [&failure](const error_code& read, std::size_t /*bytes*/) { failure = read; });
-        }
-    });
+    };
+    stream->expires_at(deadline);
+    http::async_read_header(*stream, buffer, parser, store_outcome);
     run();
+    while (!failure && !parser.is_done()) {
+        stream->expires_at(body_deadline(deadline, parser.get().body().size(), monotonic_now()));
+        http::async_read_some(*stream, buffer, parser, store_outcome);
+        run();
+    }
+    return failure;
+}
+
+result<channel_answer> http_channel::state::call(const channel_request& request, time_point deadline) {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(k_max_response_bytes);
+    auto failure = send(request, deadline);
+    if (!failure) {
+        failure = receive(parser, deadline);
+    }
     if (failure || is_stopped) {
         close();
         return fail(error_kind::store_unavailable, failure ? failure.message() : "stopped");
--- a/tests/unit/http_channel_test.cpp
+++ b/tests/unit/http_channel_test.cpp
@@ -3,8 +3,7 @@
 #include "lovage/core/time.h"
 #include "support/scripted_server.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <string>
 #include <thread>
@@ -75,6 +74,76 @@
     CHECK(took < k_timeout + milliseconds(600));
 }
 
+// Sends a response piece by piece to the first caller, until it has ended or the caller closes.
+class slow_server {
+public:
+    slow_server(std::vector<std::string> pieces, milliseconds interval)
+        : m_acceptor(m_io, {asio::ip::make_address("127.0.0.1"), 0}),
+          m_thread([this, pieces = std::move(pieces), interval] { serve(pieces, interval); }) {}
+    ~slow_server() { m_thread.join(); }
+    slow_server(const slow_server&) = delete;
+    slow_server& operator=(const slow_server&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+private:
+    void serve(const std::vector<std::string>& pieces, milliseconds interval) {
+        tcp::socket socket(m_io);
+        m_acceptor.accept(socket);
+        boost::system::error_code failure;
+        std::string head;
+        asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", failure);
+        for (auto piece = pieces.begin(); piece != pieces.end() && !failure; ++piece) {
+            asio::write(socket, asio::buffer(*piece), failure);
+            std::this_thread::sleep_for(interval);
+        }
+    }
+
+    asio::io_context m_io;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+struct slow_answer_case {
+    const char* name;
+    std::size_t body_bytes;
+    std::size_t piece_bytes;
+    std::size_t sent_pieces;
+    milliseconds interval;
+    bool is_received;
+    milliseconds longest;
+};
+
+// Guards against a large configuration that is never read over a slow link, because each attempt ends before
+// its answer has arrived, and against answers of which a byte now and then arrives.
+TEST_CASE("an answer is received as long as it arrives steadily") {
+    constexpr milliseconds k_timeout{400};
+    const auto test = GENERATE(from_range(std::vector<slow_answer_case>{
+        {"at once", 500'000, 500'000, 1, milliseconds(0), true, milliseconds(400)},
+        {"large and slow", 800'000, 50'000, 16, milliseconds(100), true, milliseconds(4'000)},
+        {"a byte now and then", 1'000, 1, 40, milliseconds(50), false, milliseconds(1'000)},
+        {"silent in the middle", 800'000, 50'000, 10, milliseconds(20), false, milliseconds(2'000)},
+    }));
+    CAPTURE(test.name);
+    const std::string whole = answer_of(std::string(test.body_bytes, 'x'));
+    const auto head_bytes = whole.size() - test.body_bytes;
+    std::vector<std::string> pieces{whole.substr(0, head_bytes)};
+    for (std::size_t i = 0; i < test.sent_pieces; ++i) {
+        pieces.push_back(whole.substr(head_bytes + i * test.piece_bytes, test.piece_bytes));
+    }
+    if (!test.is_received) {
+        // Nothing more arrives, and the connection stays open.
+        pieces.insert(pieces.end(), 3'000 / test.interval.count(), "");
+    }
+    slow_server server(std::move(pieces), test.interval);
+    http_channel channel(server.address());
+    const auto start = monotonic_now();
+    const auto answer = channel.exchange({"GET", "/", "", k_timeout});
+    const auto took = monotonic_now() - start;
+    CHECK(answer.has_value() == test.is_received);
+    CHECK(took < test.longest);
+}
+
 } // namespace
 
 } // namespace lovage
