Judge requests at a lost target after the bytes that are queued

A stream could be continued at a second engine, with a repeated read of its prompt, because its gateway had been held up.

Cause: when one request or a peer reports a lost target, the other requests there were judged by their silence at once, before the bytes that had arrived during a hold-up of the thread were read.

Change: the requests are judged by a timer without delay. Readable sockets are handled before expired timers.

Test: "a stream whose events are queued is not stalled at a lost target" fails before in the two rows with a queued event. The test "a target that a peer reports as lost ..." runs the timers before it counts the attempts; its rows are unchanged.

--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -42,6 +42,19 @@
     return candidates;
 }
 
+void fail_over_stalled_requests(gateway_traffic& traffic, const std::string& target_id, bool is_certain) {
+    // `on_target_lost` may modify the set of requests, so the affected ones are collected first.
+    std::vector<std::shared_ptr<proxied_request>> affected;
+    for (auto* request : traffic.requests) {
+        if (request->is_stalled_at(target_id, is_certain)) {
+            affected.push_back(request->shared_from_this());
+        }
+    }
+    for (const auto& request : affected) {
+        request->on_target_lost(target_id, is_certain);
+    }
+}
+
 } // namespace
 
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
@@ -216,16 +229,11 @@
 }
 
 void report_lost_target(gateway_traffic& traffic, const std::string& target_id, bool is_certain) {
-    // `on_target_lost` may modify the set of requests, so the affected ones are collected first.
-    std::vector<std::shared_ptr<proxied_request>> affected;
-    for (auto* request : traffic.requests) {
-        if (request->is_stalled_at(target_id, is_certain)) {
-            affected.push_back(request->shared_from_this());
-        }
-    }
-    for (const auto& request : affected) {
-        request->on_target_lost(target_id, is_certain);
-    }
+    // Bytes that arrived while the thread was held up are read before a timer expires, so that a request is
+    // not judged by a silence that has ended.
+    traffic.timers.after(milliseconds(0), [&traffic, target_id, is_certain] {
+        fail_over_stalled_requests(traffic, target_id, is_certain);
+    });
 }
 
 } // namespace lovage
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -167,6 +167,9 @@
         now = end;
     }
 
+    /// Advances the time without running timers, as for a thread that gets no processor time.
+    void hold_up(milliseconds by) { now += by; }
+
     /// KV memory of an engine, and what a request needs with the default output.
     static constexpr std::uint64_t k_engine_tokens = 88'000;
     static constexpr std::uint64_t k_request_tokens = 9'000;
--- a/tests/unit/peer_exchange_test.cpp
+++ b/tests/unit/peer_exchange_test.cpp
@@ -238,6 +238,39 @@
     first.events.on_body(fake_gateway::event(1));
     gateway.advance(milliseconds(test.silence_ms));
     apply_peer_failure(gateway.traffic, {"service", "a", first.options.target_id, test.failure_kind, 1});
+    gateway.advance(milliseconds(0));
+    CHECK(gateway.attempts.size() == (test.ends ? 2 : 1));
+}
+
+struct held_up_case {
+    const char* name;
+    target_failure_kind failure_kind;
+    bool has_late_event;
+    bool ends;
+};
+
+// Guards against streams that are failed over because their gateway was held up: the report of a lost target
+// is handled before the events that arrived meanwhile.
+TEST_CASE("a stream whose events are queued is not stalled at a lost target") {
+    const auto test = GENERATE(from_range(std::vector<held_up_case>{
+        {"silent, an event is queued", target_failure_kind::silent, true, false},
+        {"silent, nothing is queued", target_failure_kind::silent, false, true},
+        {"unreachable, an event is queued", target_failure_kind::unreachable, true, false},
+        {"unreachable, nothing is queued", target_failure_kind::unreachable, false, true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    auto& first = *gateway.attempts.at(0);
+    first.events.on_head(fake_gateway::head(200));
+    first.events.on_body(fake_gateway::event(1));
+    gateway.hold_up(milliseconds(300));
+    apply_peer_failure(gateway.traffic, {"service", "a", first.options.target_id, test.failure_kind, 1});
+    if (test.has_late_event) {
+        first.events.on_body(fake_gateway::event(2));
+    }
+    gateway.advance(milliseconds(0));
     CHECK(gateway.attempts.size() == (test.ends ? 2 : 1));
 }
 
