Finish reading and sending before a stopping gateway exits

Callers saw: during a planned stop, requests that were half read, waited in the backlog or had arrived on a kept connection were reset, and answers that a slow caller still read were cut.

Cause: the process counted only requests that were read and not yet answered. It exited 3 s after SIGTERM when there were none, and closing idle connections and the acceptor reset what had arrived. A second SIGTERM that was queued was taken by a later SIGHUP and started the grace period anew.

Change: a connection is busy from the first byte of a request until its answer is sent. The process closes idle connections once nothing is busy, reads what has arrived on them and in the backlog first, and exits when no connection is left. It waits for one stop signal.

Tests: "a stopping server answers the requests that have arrived" (3 of 5 rows), "a connection is busy until its answer has been sent" and the new rows of the shutdown phases fail with the mechanism off; process test planned_stop_waits_for_slow_callers.

Conclusion: a caller that sends its request after the process has closed its idle connection still finds it closed.

--- a/include/lovage/adapters/gateway/caller_server.h
+++ b/include/lovage/adapters/gateway/caller_server.h
@@ -36,9 +36,13 @@
     void accept();
     /// Starts draining: requests are still served, but each connection is closed after its next response.
     void start_draining();
-    /// Stops listening and closes the connections that have no request in progress.
+    /// Stops listening and closes the connections that have no request in progress. Connections that the
+    /// kernel has accepted, and requests that have arrived on them, are read first. Closing takes until the
+    /// io_context has run.
     void close_idle();
     std::size_t connections() const;
+    /// Number of connections on which a request is being read or served, or an answer is being sent.
+    std::size_t busy_connections() const;
 
 private:
     caller_server();
--- a/include/lovage/core/shutdown_plan.h
+++ b/include/lovage/core/shutdown_plan.h
@@ -15,9 +15,10 @@
     /// The readiness probe fails, but the platform may still route callers here; requests that can finish
     /// before the kill are served.
     leaving,
-    /// New connections and requests are refused; requests in progress continue.
+    /// New connections and requests are refused and idle connections are closed; requests in progress
+    /// continue.
     closing,
-    /// No requests are left, or the grace period has ended.
+    /// No requests and connections are left, or the grace period has ended.
     stopped,
 };
 inline constexpr std::size_t k_shutdown_phase_count = 4;
@@ -31,8 +32,10 @@
     time_point::duration since_stop_request{};
     /// Grace period: the time from the stop signal to the kill.
     milliseconds grace{0};
-    /// Requests in progress.
+    /// Requests that are being read or served, or whose answers have not been sent yet.
     std::size_t requests = 0;
+    /// Open connections of callers. One without a request may have unread bytes of its next one.
+    std::size_t connections = 0;
 };
 
 /// Returns the phase of a process that was asked to shut down, so never `serving`.
--- a/src/adapters/gateway/caller_server.cpp
+++ b/src/adapters/gateway/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_session.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <set>
@@ -36,6 +37,7 @@
     bool is_accepting = false;
 
     void accept();
+    void accept_pending();
     void start_session(tcp::socket socket);
 };
 
@@ -59,6 +61,19 @@
     });
 }
 
+// Accepts the connections that wait in the backlog; closing the acceptor would reset them.
+void caller_server::state::accept_pending() {
+    error_code failure;
+    acceptor.non_blocking(true, failure);
+    while (!failure) {
+        tcp::socket socket(acceptor.get_executor());
+        acceptor.accept(socket, failure);
+        if (!failure) {
+            start_session(std::move(socket));
+        }
+    }
+}
+
 void caller_server::state::start_session(tcp::socket socket) {
     if (sessions.size() >= options.max_connections) {
         host.traffic.sink.count("gateway_connections_refused", "limit");
@@ -115,8 +130,11 @@
 }
 
 void caller_server::close_idle() {
-    error_code ignored;
-    m_state->acceptor.close(ignored);
+    if (m_state->acceptor.is_open()) {
+        m_state->accept_pending();
+        error_code ignored;
+        m_state->acceptor.close(ignored);
+    }
     const auto sessions = m_state->sessions;
     for (auto* session : sessions) {
         session->close_if_idle();
@@ -127,4 +145,10 @@
     return m_state->sessions.size();
 }
 
+std::size_t caller_server::busy_connections() const {
+    const auto& sessions = m_state->sessions;
+    return static_cast<std::size_t>(std::count_if(sessions.begin(), sessions.end(),
+                                                  [](const auto* session) { return session->is_busy(); }));
+}
+
 } // namespace lovage
--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -127,6 +127,13 @@
     if (m_phase == session_phase::closed) {
         return;
     }
+    if (std::exchange(m_is_closing_idle, false) && failure == asio::error::operation_aborted) {
+        error_code ignored;
+        if (m_socket.available(ignored) > 0) {
+            read();
+            return;
+        }
+    }
     if (failure) {
         const auto request = std::exchange(m_request, nullptr);
         close();
@@ -363,14 +370,18 @@
     return m_phase == session_phase::serving || m_phase == session_phase::answered;
 }
 
-bool caller_session::is_idle() const {
-    return m_phase == session_phase::reading && !m_has_request_bytes && !m_is_writing;
+bool caller_session::is_busy() const {
+    return is_request_parsed() || is_sending() || (m_phase == session_phase::reading && m_has_request_bytes);
 }
 
 void caller_session::close_if_idle() {
-    if (is_idle()) {
-        close();
+    if (m_phase != session_phase::reading || is_busy()) {
+        return;
     }
+    // A read that has already completed brings its bytes, which cancelling leaves alone.
+    m_is_closing_idle = true;
+    error_code ignored;
+    m_socket.cancel(ignored);
 }
 
 } // namespace lovage
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -37,9 +37,10 @@
 
     /// Starts reading requests. `on_closed` is called once, when the connection is closed.
     void start();
-    /// Closes the connection unless a request is being read or served.
+    /// Closes the connection unless a request is being read or served, or has arrived.
     void close_if_idle();
-    bool is_idle() const;
+    /// Whether a request is being read or served, or an answer is being sent.
+    bool is_busy() const;
 
 private:
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -64,6 +65,7 @@
     void arm_timer(milliseconds delay);
     /// Whether bytes that arrive belong to a later request than the one that the parser holds.
     bool is_request_parsed() const;
+    bool is_sending() const { return m_is_writing || !m_pending.empty(); }
     const caller_limits& limits() const;
 
     boost::asio::ip::tcp::socket m_socket;
@@ -77,6 +79,8 @@
     time_point m_first_byte{};
     bool m_has_request_bytes = false;
     bool m_is_reading = false;
+    /// Whether the read in progress was ended to close the connection.
+    bool m_is_closing_idle = false;
     bool m_is_continue_sent = false;
     bool m_keeps_alive = true;
     bool m_is_head_request = false;
--- a/src/core/shutdown_plan.cpp
+++ b/src/core/shutdown_plan.cpp
@@ -18,11 +18,12 @@
 
 shutdown_phase plan_shutdown(const shutdown_progress& facts) {
     const bool has_grace_ended = facts.since_stop_request >= facts.grace - k_kill_margin;
-    if (has_grace_ended || (facts.since_stop_request >= k_readiness_delay && facts.requests == 0)) {
+    const bool is_done = facts.since_stop_request >= k_readiness_delay && facts.requests == 0;
+    if (has_grace_ended || (is_done && facts.connections == 0)) {
         return shutdown_phase::stopped;
     }
-    return facts.since_stop_request >= facts.grace - k_closing_time ? shutdown_phase::closing
-                                                                    : shutdown_phase::leaving;
+    return is_done || facts.since_stop_request >= facts.grace - k_closing_time ? shutdown_phase::closing
+                                                                               : shutdown_phase::leaving;
 }
 
 bool can_finish_before_kill(time_point::duration since_stop_request, milliseconds grace,
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -15,6 +15,7 @@
 #include "lovage/control/gateway_control.h"
 #include "lovage/traffic/proxied_request.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -56,7 +57,8 @@
     status_page page(const std::string& path);
     bool is_ready() const;
     void post_evidence();
-    void wait_for_signal();
+    void wait_for_stop();
+    void wait_for_reload();
     void start_shutdown();
     void poll_shutdown();
 
@@ -193,7 +195,8 @@
         }
     });
     m_control = gateway_control::start(make_control_ports());
-    wait_for_signal();
+    wait_for_stop();
+    wait_for_reload();
     log_event(log_level::info, "started",
               {{"node", m_settings.node},
                {"version", LOVAGE_VERSION},
@@ -254,18 +257,22 @@
     });
 }
 
-void gateway_process::wait_for_signal() {
+// Waits for one signal only: a second one must not start the grace period anew.
+void gateway_process::wait_for_stop() {
     m_stop_signals.async_wait([this](const error_code& cancelled, int signal) {
         if (!cancelled) {
             log_event(log_level::info, "stop_requested", {{"signal", std::to_string(signal)}});
             start_shutdown();
         }
     });
+}
+
+void gateway_process::wait_for_reload() {
     m_reload_signals.async_wait([this](const error_code& cancelled, int /*signal*/) {
         if (!cancelled) {
             // Settings are read only at start-up; the operators' configuration comes from the store.
             log_event(log_level::info, "reload_requested", {{"outcome", "settings apply at the next start"}});
-            wait_for_signal();
+            wait_for_reload();
         }
     });
 }
@@ -278,7 +285,9 @@
 }
 
 void gateway_process::poll_shutdown() {
-    const auto phase = current_shutdown_phase(m_traffic);
+    const auto phase = plan_shutdown({monotonic_now() - *m_traffic.shutdown_requested_at, m_settings.grace,
+                                      std::max(m_traffic.requests.size(), m_callers->busy_connections()),
+                                      m_callers->connections()});
     if (phase != shutdown_phase::leaving) {
         m_callers->close_idle();
     }
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -7,7 +7,7 @@
 import tempfile
 import time
 
-from gateway import Gateway, call, get
+from gateway import Gateway, call, get, read_head
 from world import ENDLESS, World
 
 MAX_EVENT_GAP_S = 0.7  # longest gap between events that the streaming route allows
@@ -223,6 +223,29 @@
     check(await asyncio.wait_for(gateway.process.wait(), 8.0) == 0, "exit code")
 
 
+async def planned_stop_waits_for_slow_callers(f):
+    """Guards against a stop that resets a request which is still being sent, and against a second SIGTERM that lets the
+    process outlast its grace period."""
+    gateway = f.gateways[0]
+    reader, writer = await asyncio.open_connection("127.0.0.1", f.port)
+    writer.write(b"POST /stream/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: slow-caller\r\nDeadline-Ms: 9000\r\n"
+                 b"Authorization: Bearer key-1\r\nToken-Count: 800,280\r\nModel: m\r\nContent-Length: 300\r\n\r\n")
+    await writer.drain()
+    await asyncio.sleep(0.1)
+    stopped_at = time.monotonic()
+    gateway.signal(signal.SIGTERM)
+    await asyncio.sleep(3.4)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        gateway.signal(number)
+        await asyncio.sleep(0.1)
+    writer.write(b"x" * 300)
+    status, _ = await read_head(reader)
+    check(status in (200, 503), f"status {status}")
+    check(await asyncio.wait_for(gateway.process.wait(), 8.0) == 0, "exit code")
+    check(time.monotonic() - stopped_at < 8.0, "the process ran longer than its grace period")
+    writer.close()
+
+
 async def killed_process_serves_again(f):
     """Guards against a restart that needs more state than the store has."""
     await f.gateways[0].stop()
@@ -290,6 +313,7 @@
 CASES = [serves_each_kind, stream_lives_through_a_crash, stream_lives_through_silence, publish_runs_once,
          read_is_repeated_once, draining_server_gets_no_new_work, restarted_server_is_found, revoked_key_is_closed,
          lost_store_closes_keys, forgotten_history_is_read_again, planned_stop_cuts_nothing,
+         planned_stop_waits_for_slow_callers,
          killed_process_serves_again, stopped_work_of_gone_callers,
          good_version_is_moved_to, version_is_taken_back_if_it_may_be_too_many, bad_version_is_taken_back]
 CASES += [make_endless_case(mode) for mode in ENDLESS]
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -47,7 +47,8 @@
         REQUIRE(started);
         m_server = std::move(*started);
         m_server->accept();
-        m_caller.connect({asio::ip::make_address(endpoint->ip), endpoint->port});
+        m_endpoint = {asio::ip::make_address(endpoint->ip), endpoint->port};
+        m_caller.connect(m_endpoint);
         m_caller.non_blocking(true);
         run(milliseconds(10));
     }
@@ -74,12 +75,20 @@
         bytes.resize(size);
         return failure && failure != asio::error::would_block ? bytes + "closed" : bytes;
     }
+    /// Replaces the caller's connection by a new one, which the server has not accepted yet.
+    void reconnect() {
+        m_caller = tcp::socket(m_io);
+        m_caller.connect(m_endpoint);
+        m_caller.non_blocking(true);
+    }
     fake_gateway& gateway() { return m_gateway; }
+    caller_server& server() { return *m_server; }
 
 private:
     asio::io_context m_io;
     fake_gateway m_gateway;
     std::unique_ptr<caller_server> m_server;
+    tcp::endpoint m_endpoint;
     tcp::socket m_caller{m_io};
 };
 
@@ -133,6 +142,74 @@
     CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
 }
 
+struct closing_case {
+    const char* name;
+    bool is_new_connection;
+    std::string sent;
+    std::string rest;
+    std::string received;
+};
+
+// Guards against requests that a stopping process resets although they have arrived: their callers cannot
+// know whether they ran.
+TEST_CASE("a stopping server answers the requests that have arrived") {
+    const std::string whole = std::string(k_head_start) + k_head_end;
+    const auto test = GENERATE_COPY(from_range(std::vector<closing_case>{
+        {"nothing on a kept connection", false, "", "", "closed"},
+        {"nothing on a new connection", true, "", "", "closed"},
+        {"a request on a kept connection", false, whole, "", "HTTP/1.1 503"},
+        {"a request on a connection that waits in the backlog", true, whole, "", "HTTP/1.1 503"},
+        {"a part of a head", false, k_head_start, k_head_end, "HTTP/1.1 503"},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    if (test.is_new_connection) {
+        fixture.reconnect();
+    }
+    fixture.gateway().traffic.options.grace = milliseconds(8'000);
+    fixture.gateway().traffic.shutdown_requested_at = fixture.gateway().now - milliseconds(7'000);
+    fixture.server().start_draining();
+    fixture.send(test.sent);
+    fixture.server().close_idle();
+    fixture.run(milliseconds(20));
+    fixture.send(test.rest);
+    fixture.run(milliseconds(20));
+    CHECK(fixture.received().substr(0, test.received.size()) == test.received);
+    CHECK(fixture.gateway().attempts.empty());
+}
+
+struct busy_case {
+    const char* name;
+    std::string sent;
+    /// Size of the answer that the target gives; 0 for none.
+    std::size_t answer_bytes;
+    std::size_t busy;
+};
+
+// Guards against a process that exits while a request is being read or an answer is being sent.
+TEST_CASE("a connection is busy until its answer has been sent") {
+    const std::string whole = std::string(k_head_start) + k_head_end;
+    const auto test = GENERATE_COPY(from_range(std::vector<busy_case>{
+        {"no request", "", 0, 0},
+        {"a part of a head", k_head_start, 0, 1},
+        {"a request in progress", whole, 0, 1},
+        {"an answer that the caller has not read", whole, 32'000'000, 1},
+        {"an answer that was sent", whole, 2, 0},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(test.sent);
+    fixture.run(milliseconds(10));
+    if (test.answer_bytes > 0) {
+        const auto events = fixture.gateway().attempts.at(0)->events;
+        events.on_head(fake_gateway::head(200));
+        events.on_body(std::string(test.answer_bytes, 'x'));
+        events.on_end();
+        fixture.run(milliseconds(10));
+    }
+    CHECK(fixture.server().busy_connections() == test.busy);
+}
+
 } // namespace
 
 } // namespace lovage
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -416,15 +416,21 @@
         std::int64_t since_ms;
         std::size_t requests;
         shutdown_phase phase;
+        std::size_t connections = 0;
     };
     const auto test = GENERATE(from_range(std::vector<phase_case>{{0, 0, shutdown_phase::leaving},
                                                                   {2'900, 0, shutdown_phase::leaving},
                                                                   {3'000, 0, shutdown_phase::stopped},
+                                                                  {2'900, 0, shutdown_phase::leaving, 2},
+                                                                  {3'000, 0, shutdown_phase::closing, 2},
+                                                                  {3'000, 1, shutdown_phase::leaving, 2},
+                                                                  {7'700, 0, shutdown_phase::stopped, 2},
                                                                   {6'000, 4, shutdown_phase::leaving},
                                                                   {6'800, 4, shutdown_phase::closing},
                                                                   {7'700, 4, shutdown_phase::stopped}}));
     CAPTURE(test.since_ms);
-    CHECK(plan_shutdown({milliseconds(test.since_ms), milliseconds(8'000), test.requests}) == test.phase);
+    CHECK(plan_shutdown({milliseconds(test.since_ms), milliseconds(8'000), test.requests,
+                         test.connections}) == test.phase);
 }
 
 } // namespace
