Start the idle time of a caller after its answer has been sent

Callers saw: a caller that read a large answer slowly was cut when the idle timeout passed, counted from the moment at which the answer was handed to the connection. A caller that read nothing at all kept its connection for ever if it was to be closed after the answer.

Change: the idle timer does not close a connection that still sends; it starts when the answer is sent. An answer of which the caller takes no byte for 30 s ends the connection.

Test: "a caller gets its whole answer as long as it reads"; the row "after the idle timeout" fails with the first part off, "not at all" with the second off.

--- a/include/lovage/adapters/gateway/caller_server.h
+++ b/include/lovage/adapters/gateway/caller_server.h
@@ -2,6 +2,7 @@
 
 #include "lovage/core/result.h"
 #include "lovage/core/route_table.h"
+#include "lovage/core/time.h"
 #include "lovage/ports/request_codec.h"
 #include "lovage/traffic/gateway_traffic.h"
 
@@ -18,6 +19,9 @@
     std::string ip;
     std::uint16_t port = 0;
     std::size_t max_connections = 1'000;
+    /// A caller that takes no byte of its answer for this long has been lost. It is longer than the outages
+    /// of a network that connections survive.
+    milliseconds max_write_silence{30'000};
 };
 
 /// HTTP/1.1 server for callers. All functions must be called on the io_context's thread.
--- a/src/adapters/gateway/caller_server.cpp
+++ b/src/adapters/gateway/caller_server.cpp
@@ -25,7 +25,8 @@
 struct caller_server::state : std::enable_shared_from_this<caller_server::state> {
     state(asio::io_context& io, caller_server_options server_options, request_codec server_codec,
           gateway_traffic& traffic)
-        : options(std::move(server_options)), codec(std::move(server_codec)), host{codec, traffic, false},
+        : options(std::move(server_options)),
+          codec(std::move(server_codec)), host{codec, traffic, options.max_write_silence, false},
           acceptor(io), accept_backoff(io) {}
 
     caller_server_options options;
--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -3,7 +3,6 @@
 #include "lovage/adapters/gateway/connection_fields.h"
 
 #include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -62,7 +61,7 @@
 caller_session::caller_session(asio::ip::tcp::socket socket, session_host& host,
                                std::function<void(caller_session*)> on_closed)
     : m_socket(std::move(socket)), m_host(host), m_on_closed(std::move(on_closed)),
-      m_timer(m_socket.get_executor()) {}
+      m_timer(m_socket.get_executor()), m_write_timer(m_socket.get_executor()) {}
 
 const caller_limits& caller_session::limits() const {
     static const caller_limits k_default_limits;
@@ -104,6 +103,10 @@
             self->reply_encoded({408, "Request Timeout", {}, ""});
             return;
         }
+        if (self->is_sending()) {
+            // The caller is still reading its last answer; the idle time begins after it.
+            return;
+        }
         self->close();
     });
 }
@@ -327,24 +330,46 @@
     if (m_pending.empty()) {
         if (m_closes_after_write) {
             linger();
+        } else if (m_phase == session_phase::reading && !m_has_request_bytes) {
+            arm_timer(limits().idle_timeout);
         }
         return;
     }
     m_is_writing = true;
     m_in_flight = std::exchange(m_pending, {});
-    asio::async_write(m_socket, asio::buffer(m_in_flight),
-                      [self = shared_from_this()](const error_code& failure, std::size_t /*bytes*/) {
-                          self->m_is_writing = false;
-                          self->m_in_flight.clear();
-                          if (failure) {
-                              self->handle_bytes(failure, 0);
-                              return;
-                          }
-                          if (self->m_request) {
-                              self->m_request->on_caller_writable();
-                          }
-                          self->flush();
-                      });
+    m_written = 0;
+    write();
+}
+
+void caller_session::write() {
+    m_write_timer.start(m_host.max_write_silence, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->handle_bytes(asio::error::timed_out, 0);
+        }
+    });
+    m_socket.async_write_some(asio::buffer(m_in_flight) + m_written,
+                              [self = shared_from_this()](const error_code& failure, std::size_t bytes) {
+                                  self->handle_written(failure, bytes);
+                              });
+}
+
+void caller_session::handle_written(const error_code& failure, std::size_t bytes) {
+    m_written += bytes;
+    if (!failure && m_phase != session_phase::closed && m_written < m_in_flight.size()) {
+        write();
+        return;
+    }
+    m_write_timer.cancel();
+    m_is_writing = false;
+    m_in_flight.clear();
+    if (failure) {
+        handle_bytes(failure, 0);
+        return;
+    }
+    if (m_request) {
+        m_request->on_caller_writable();
+    }
+    flush();
 }
 
 void caller_session::linger() {
@@ -361,6 +386,7 @@
         return;
     }
     m_timer.cancel();
+    m_write_timer.cancel();
     error_code ignored;
     m_socket.close(ignored);
     m_on_closed(this);
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -21,6 +21,7 @@
 struct session_host {
     const request_codec& codec;
     gateway_traffic& traffic;
+    milliseconds max_write_silence{0};
     bool is_draining = false;
 };
 
@@ -60,6 +61,8 @@
     void end_request();
     void queue(const std::string& bytes);
     void flush();
+    void write();
+    void handle_written(const boost::system::error_code& failure, std::size_t bytes);
     void linger();
     void close();
     void arm_timer(milliseconds delay);
@@ -72,6 +75,7 @@
     session_host& m_host;
     std::function<void(caller_session*)> m_on_closed;
     one_shot_timer m_timer;
+    one_shot_timer m_write_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<parser_type> m_parser;
     std::shared_ptr<proxied_request> m_request;
@@ -90,6 +94,8 @@
     bool m_is_writing = false;
     std::string m_pending;
     std::string m_in_flight;
+    /// Bytes of `m_in_flight` that have been written.
+    std::size_t m_written = 0;
 };
 
 } // namespace lovage
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -26,6 +26,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr milliseconds k_idle_timeout{60};
+constexpr milliseconds k_max_write_silence{150};
 constexpr const char* k_head_start = "GET /r/x HTTP/1.1\r\nHost: host\r\n";
 constexpr const char* k_head_end = "Request-Id: id\r\nAuthorization: Bearer key\r\n\r\n";
 
@@ -42,7 +43,7 @@
         apply_view(m_gateway.traffic, view);
         const auto address = free_address();
         const auto endpoint = parse_endpoint(address);
-        auto started = caller_server::start(m_io, {endpoint->ip, endpoint->port, 10},
+        auto started = caller_server::start(m_io, {endpoint->ip, endpoint->port, 10, k_max_write_silence},
                                             platform::make_request_codec(), m_gateway.traffic);
         REQUIRE(started);
         m_server = std::move(*started);
@@ -75,6 +76,19 @@
         bytes.resize(size);
         return failure && failure != asio::error::would_block ? bytes + "closed" : bytes;
     }
+    /// Reads until nothing has arrived for 30 ms; returns the number of bytes.
+    std::size_t read_all() {
+        std::vector<char> bytes(1'048'576);
+        std::size_t total = 0;
+        for (int quiet = 0; quiet < 30;) {
+            run(milliseconds(1));
+            error_code failure;
+            const auto size = m_caller.read_some(asio::buffer(bytes), failure);
+            total += size;
+            quiet = size > 0 ? 0 : quiet + 1;
+        }
+        return total;
+    }
     /// Replaces the caller's connection by a new one, which the server has not accepted yet.
     void reconnect() {
         m_caller = tcp::socket(m_io);
@@ -178,6 +192,37 @@
     CHECK(fixture.gateway().attempts.empty());
 }
 
+struct reading_case {
+    const char* name;
+    /// How long the caller reads nothing after the answer has begun.
+    milliseconds pause;
+    bool is_complete;
+};
+
+// Guards against an answer that is cut by the idle timeout while its caller still reads, and against a
+// connection that a caller which reads nothing keeps for ever.
+TEST_CASE("a caller gets its whole answer as long as it reads") {
+    constexpr std::size_t k_bytes = 16'000'000;
+    const auto test = GENERATE(from_range(std::vector<reading_case>{
+        {"at once", milliseconds(0), true},
+        {"after the idle timeout", k_idle_timeout * 3 / 2, true},
+        {"not at all", k_max_write_silence * 2, false},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(std::string(k_head_start) + k_head_end);
+    fixture.run(milliseconds(10));
+    const auto events = fixture.gateway().attempts.at(0)->events;
+    events.on_head(fake_gateway::head(200));
+    events.on_body(std::string(k_bytes, 'x'));
+    events.on_end();
+    fixture.run(test.pause);
+    CHECK(fixture.server().connections() == (test.is_complete ? 1 : 0));
+    CHECK((fixture.read_all() > k_bytes) == test.is_complete);
+    fixture.run(k_idle_timeout * 2);
+    CHECK(fixture.server().connections() == 0);
+}
+
 struct busy_case {
     const char* name;
     std::string sent;
