Give up a request body that arrives by single bytes

Callers saw: nothing; a faulty caller could hold a connection for ever, as each byte of a body started the idle timeout anew.

Change: a body must also keep up with 1 kB/s on average, beyond the timeouts of the limits.

Test: "a body is read as long as it arrives steadily" fails before in the row "a byte now and then"; "slow" is read either way.

--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "lovage/adapters/gateway/connection_fields.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -18,6 +19,9 @@
 constexpr std::size_t k_read_block = 16'384;
 // Maximum bytes of pipelined requests that are buffered while one is served.
 constexpr std::size_t k_max_read_ahead = 65'536;
+// A request body must arrive at this rate in bytes per second on average, beyond the timeouts of the limits;
+// callers' links carry far more. Otherwise a caller could hold a connection by single bytes.
+constexpr std::uint64_t k_min_body_rate = 1'000;
 // Time that the caller has to read the last response before the connection is closed.
 constexpr milliseconds k_linger_timeout{1'000};
 
@@ -111,6 +115,14 @@
     });
 }
 
+milliseconds caller_session::body_time_left() const {
+    const auto received = m_parser->get().body().size();
+    const auto allowed = limits().header_timeout + limits().idle_timeout +
+                         milliseconds(static_cast<std::int64_t>(received * 1'000 / k_min_body_rate));
+    const auto left = std::chrono::ceil<milliseconds>(m_first_byte + allowed - monotonic_now());
+    return std::clamp(left, milliseconds(0), limits().idle_timeout);
+}
+
 void caller_session::read() {
     if (m_is_reading || m_phase == session_phase::closed) {
         return;
@@ -176,7 +188,7 @@
         return;
     }
     if (m_parser->is_header_done()) {
-        arm_timer(limits().idle_timeout);
+        arm_timer(body_time_left());
         const bool wants_continue =
             boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
         if (wants_continue && !std::exchange(m_is_continue_sent, true)) {
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -66,6 +66,8 @@
     void linger();
     void close();
     void arm_timer(milliseconds delay);
+    /// Time until the next part of the request's body must have arrived.
+    milliseconds body_time_left() const;
     /// Whether bytes that arrive belong to a later request than the one that the parser holds.
     bool is_request_parsed() const;
     bool is_sending() const { return m_is_writing || !m_pending.empty(); }
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -26,6 +26,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr milliseconds k_idle_timeout{60};
+constexpr milliseconds k_header_timeout{100};
 constexpr milliseconds k_max_write_silence{150};
 constexpr const char* k_head_start = "GET /r/x HTTP/1.1\r\nHost: host\r\n";
 constexpr const char* k_head_end = "Request-Id: id\r\nAuthorization: Bearer key\r\n\r\n";
@@ -38,6 +39,7 @@
         auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
         auto table = std::make_shared<route_table>(*view->table);
         table->limits.idle_timeout = k_idle_timeout;
+        table->limits.header_timeout = k_header_timeout;
         index_routes(*table);
         view->table = table;
         apply_view(m_gateway.traffic, view);
@@ -192,6 +194,37 @@
     CHECK(fixture.gateway().attempts.empty());
 }
 
+struct body_case {
+    const char* name;
+    std::size_t block_bytes;
+    int blocks;
+    /// Time without bytes after the blocks.
+    milliseconds pause;
+    std::size_t attempts;
+};
+
+// Guards against a caller that holds a connection for ever by single bytes of a body, and against a slow but
+// sound body that is refused.
+TEST_CASE("a body is read as long as it arrives steadily") {
+    constexpr std::size_t k_body_bytes = 20'000;
+    const auto test = GENERATE(from_range(std::vector<body_case>{
+        {"slow", 1'000, 20, milliseconds(0), 1},
+        {"a byte now and then", 1, 20, milliseconds(0), 0},
+        {"stalled", 1'000, 3, k_idle_timeout * 2, 0},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(std::string(k_head_start) + "Content-Length: " + std::to_string(k_body_bytes) + "\r\n" +
+                 k_head_end);
+    for (int i = 0; i < test.blocks; ++i) {
+        fixture.send(std::string(test.block_bytes, 'x'));
+        fixture.run(k_idle_timeout / 3);
+    }
+    fixture.run(test.pause);
+    CHECK(fixture.gateway().attempts.size() == test.attempts);
+    CHECK((fixture.received().find("HTTP/1.1 408") == 0) == (test.attempts == 0));
+}
+
 struct reading_case {
     const char* name;
     /// How long the caller reads nothing after the answer has begun.
