Measure the silence of a plain answer by its bytes

Callers saw: an idempotent request whose answer arrived slowly but steadily was cut at the stall timeout and requested again elsewhere, where it was as slow. If another request found the target lost, such a request was cut after 120 ms although bytes had just arrived.

Cause: the silence of a plain answer was the time since the request was sent.

Change: silence is the time since the last bytes or, if longer, the time by which the answer is behind 100 kB/s from its head on, so that bytes that come now and then do not keep a stalled answer alive.

Tests: "a plain answer is read as long as it arrives steadily" (row "slow") and "a plain answer that arrives from a lost target is read on" fail before.

--- a/include/lovage/core/stall_plan.h
+++ b/include/lovage/core/stall_plan.h
@@ -45,7 +45,7 @@
     /// Time without an event after which the stream is abandoned, unless the probe shows that the prompt
     /// waits or is in prefill.
     milliseconds stall_timeout{0};
-    /// Time since the last event, or since the start of the attempt.
+    /// Time since the last event, or since the start of the attempt; `transfer_silence` of other answers.
     time_point::duration silence{};
     /// The result of the probe since the last event; empty if there was none.
     std::optional<run_status> status;
@@ -68,6 +68,19 @@
     milliseconds recheck_at{0};
 };
 
+/// Progress of an answer that is no stream.
+struct transfer_progress {
+    /// Start of the attempt until the head of the answer has arrived, then the arrival of the head.
+    time_point started{};
+    /// When the last bytes arrived; `started` before the first.
+    time_point last{};
+    std::uint64_t body_bytes = 0;
+};
+
+/// Returns for how long an answer counts as silent: the time since its last bytes or, if longer, the time by
+/// which it is behind a transfer at the lowest rate of a sound target.
+time_point::duration transfer_silence(const transfer_progress& progress, time_point now);
+
 /// Decides whether to keep waiting for a stream, to probe its target or to abandon it.
 stall_decision decide_stall_step(const stall_state& facts);
 
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -102,6 +102,8 @@
         std::string body;
         event_splitter events;
         stream_timing timing;
+        /// Progress of an answer that is no stream.
+        transfer_progress transfer;
     };
 
     // Search for an engine that has the prompt of a previous answer in its prefix cache; `tokens` is the best
--- a/src/core/stall_plan.cpp
+++ b/src/core/stall_plan.cpp
@@ -12,6 +12,10 @@
 // Interval between probes of a target whose prompt waits or is in prefill.
 constexpr milliseconds k_probe_interval{500};
 
+// Bytes per second that a sound target sends at least while it sends an answer; links between machines carry
+// more.
+constexpr std::uint64_t k_min_transfer_rate = 100'000;
+
 // Returns whether the target has generated events that should have arrived by now.
 bool are_events_lost(const stall_state& facts) {
     return facts.status->events > facts.last_event + k_max_events_in_flight;
@@ -19,6 +23,12 @@
 
 } // namespace
 
+time_point::duration transfer_silence(const transfer_progress& progress, time_point now) {
+    const auto earned = std::chrono::microseconds(
+        static_cast<std::int64_t>(progress.body_bytes * 1'000'000 / k_min_transfer_rate));
+    return std::max<time_point::duration>(now - progress.last, now - progress.started - earned);
+}
+
 stall_decision decide_stall_step(const stall_state& facts) {
     if (facts.silence < facts.probe_after) {
         return {stall_step::wait, facts.probe_after};
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -46,6 +46,8 @@
 void proxied_request::handle_head(const answer_head& head) {
     auto& current = *m_attempt;
     current.has_head = true;
+    current.transfer.started = m_traffic.timers.now();
+    current.transfer.last = current.transfer.started;
     current.head = head;
     // Checked first: what a stale answer says about a refusal or the load concerns another request. An answer
     // without an id is not believed either, since targets always repeat the id.
@@ -79,6 +81,8 @@
 
 void proxied_request::handle_body(std::string_view bytes) {
     auto& current = *m_attempt;
+    current.transfer.last = m_traffic.timers.now();
+    current.transfer.body_bytes += bytes.size();
     if (current.use == answer_use::forward_events) {
         std::string out;
         const bool is_bounded = split_events(
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -139,6 +139,7 @@
     next.from_copy = from_copy;
     next.started = want.now;
     next.timing.last = want.now;
+    next.transfer = {want.now, want.now, 0};
     choose_copy_holder(next, candidates, want);
     auto& usage = m_traffic.usage[record->id];
     ++usage.in_flight;
--- a/src/traffic/proxied_stall.cpp
+++ b/src/traffic/proxied_stall.cpp
@@ -40,10 +40,10 @@
     stall_state facts;
     facts.has_event = current.has_event;
     facts.last_event = event_number(m_last_event_id).value_or(0);
-    facts.silence = m_traffic.timers.now() - current.timing.last;
+    const auto now = m_traffic.timers.now();
+    facts.silence = is_stream() ? now - current.timing.last : transfer_silence(current.transfer, now);
     facts.status = current.status;
-    if (facts.status && current.has_event &&
-        m_traffic.timers.now() - current.first_event < k_max_status_report_age &&
+    if (facts.status && current.has_event && now - current.first_event < k_max_status_report_age &&
         facts.status->state != run_state::no_answer) {
         facts.status->state = run_state::not_told;
     }
@@ -203,7 +203,8 @@
     // An engine that is reading a prompt sends nothing, so a missing first event does not indicate a loss.
     const bool may_be_reading = is_stream() && !m_attempt->has_event;
     const auto limit = is_certain ? k_stall_at_lost_target : k_stall_at_stalled_target;
-    return (is_certain || !may_be_reading) && m_traffic.timers.now() - m_attempt->timing.last > limit;
+    const auto last = is_stream() ? m_attempt->timing.last : m_attempt->transfer.last;
+    return (is_certain || !may_be_reading) && m_traffic.timers.now() - last > limit;
 }
 
 void proxied_request::on_target_lost(const std::string& target_id, bool is_certain) {
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -162,6 +162,52 @@
     CHECK(gateway.attempts.size() == test.attempts);
 }
 
+struct plain_answer_case {
+    const char* name;
+    std::size_t block_bytes;
+    milliseconds interval;
+    std::size_t attempts;
+};
+
+// Guards against a slow but sound answer that is cut and requested anew because its whole transfer takes
+// longer than the stall timeout, and against a stalled one that sends bytes now and then.
+TEST_CASE("a plain answer is read as long as it arrives steadily") {
+    const auto test = GENERATE(from_range(std::vector<plain_answer_case>{
+        {"slow", 12'000, milliseconds(100), 1},
+        {"bytes now and then", 10, milliseconds(100), 2},
+        {"stalled", 0, milliseconds(100), 2},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 3);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    gateway.advance(milliseconds(6'000));
+    first->events.on_head(fake_gateway::head(200));
+    for (auto sent = milliseconds(0); sent < milliseconds(8'000); sent += test.interval) {
+        gateway.advance(test.interval);
+        first->events.on_body(std::string(test.block_bytes, 'x'));
+    }
+    CHECK(gateway.attempts.size() == test.attempts);
+}
+
+// Guards against an answer that is cut while it arrives because another request found its target lost.
+TEST_CASE("a plain answer that arrives from a lost target is read on") {
+    const bool arrives = GENERATE(true, false);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 3);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(fake_gateway::head(200));
+    gateway.advance(milliseconds(1'000));
+    if (arrives) {
+        first->events.on_body("x");
+    }
+    report_lost_target(gateway.traffic, first->options.target_id, true);
+    gateway.advance(milliseconds(1));
+    CHECK(gateway.attempts.size() == (arrives ? 1 : 2));
+}
+
 struct silence_case {
     const char* name;
     request_kind kind;
