Read what has arrived before a timeout for an answer expires

Callers saw: if the gateway was held up while a request's deadline passed, the request was answered 504 although its answer had arrived in time. A status of an engine was lost in the same way, and the engine counted as not responding, so that its stream was moved.

Readable sockets are handled before expired timers, but the head and each part of a body are separate reads, and the timer came between them.

Change: such a timer starts once more without delay until nothing was read between two expiries (core/pending_reads).

--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -3,6 +3,7 @@
 #include "lovage/core/answer_plan.h"
 #include "lovage/core/attempt_plan.h"
 #include "lovage/core/event_splitter.h"
+#include "lovage/core/pending_reads.h"
 #include "lovage/core/route_table.h"
 #include "lovage/core/stall_plan.h"
 #include "lovage/core/stream_stall.h"
@@ -156,6 +157,7 @@
     void start_stream();
     void refuse(error_kind kind, const std::string& detail);
     milliseconds retry_after_of(error_kind kind);
+    void start_deadline_timer(milliseconds delay);
     void on_deadline();
     void finish(std::string_view outcome, const std::string& detail = "");
     bool is_stream() const { return m_route->kind == request_kind::streaming; }
@@ -181,6 +183,7 @@
     version_side m_side = version_side::usual;
     time_point m_deadline{};
     std::optional<attempt> m_attempt;
+    pending_reads m_reads;
     timer_cancel m_deadline_timer;
     timer_cancel m_stall_timer;
     timer_cancel m_first_event_timer;
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -45,6 +45,7 @@
 
 void proxied_request::handle_head(const answer_head& head) {
     auto& current = *m_attempt;
+    ++m_reads.handled;
     current.has_head = true;
     current.transfer.started = m_traffic.timers.now();
     current.transfer.last = current.transfer.started;
@@ -81,6 +82,7 @@
 
 void proxied_request::handle_body(std::string_view bytes) {
     auto& current = *m_attempt;
+    ++m_reads.handled;
     current.transfer.last = m_traffic.timers.now();
     current.transfer.body_bytes += bytes.size();
     if (current.use == answer_use::forward_events) {
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -71,8 +71,7 @@
         allowed = std::min(allowed, m_request.deadline);
     }
     m_deadline = m_request.received + allowed;
-    m_deadline_timer = m_traffic.timers.after(std::max(time_left(), milliseconds(0)),
-                                              [self = shared_from_this()] { self->on_deadline(); });
+    start_deadline_timer(std::max(time_left(), milliseconds(0)));
     if (!can_ever_run(memory_capacity(), memory_tokens())) {
         refuse(error_kind::deadline_unreachable, std::to_string(memory_tokens()) +
                                                      " tokens are more than the memory of an engine of " +
@@ -386,10 +385,18 @@
     release_target(cancelled);
 }
 
+void proxied_request::start_deadline_timer(milliseconds delay) {
+    m_deadline_timer = m_traffic.timers.after(delay, [self = shared_from_this()] { self->on_deadline(); });
+}
+
 void proxied_request::on_deadline() {
     if (m_is_done) {
         return;
     }
+    if (m_attempt && must_read_first(m_reads)) {
+        start_deadline_timer(milliseconds(0));
+        return;
+    }
     refuse(error_kind::deadline_exceeded, "no whole answer in time");
 }
 
--- a/src/traffic/target_call.cpp
+++ b/src/traffic/target_call.cpp
@@ -1,5 +1,7 @@
 #include "lovage/traffic/target_call.h"
 
+#include "lovage/core/pending_reads.h"
+
 #include <utility>
 
 namespace lovage {
@@ -14,6 +16,7 @@
     target_reply reply;
     attempt_handle handle;
     timer_cancel timer;
+    pending_reads reads;
     std::function<void(std::optional<target_reply>)> done;
 
     void end(std::optional<target_reply> outcome) {
@@ -27,6 +30,20 @@
     }
 };
 
+void start_limit(gateway_traffic& traffic, const std::shared_ptr<call_state>& call, milliseconds delay) {
+    call->timer = traffic.timers.after(delay, [&traffic, call] {
+        if (!call->done) {
+            return;
+        }
+        if (must_read_first(call->reads)) {
+            start_limit(traffic, call, milliseconds(0));
+            return;
+        }
+        call->handle.cancel();
+        call->end(std::nullopt);
+    });
+}
+
 } // namespace
 
 void send_target_request(gateway_traffic& traffic, const std::string& address,
@@ -35,8 +52,12 @@
     const auto call = std::make_shared<call_state>();
     call->done = std::move(done);
     attempt_events events;
-    events.on_head = [call](const answer_head& head) { call->reply.status = head.status; };
+    events.on_head = [call](const answer_head& head) {
+        ++call->reads.handled;
+        call->reply.status = head.status;
+    };
     events.on_body = [call](std::string_view bytes) {
+        ++call->reads.handled;
         call->reply.body.append(bytes);
         if (call->reply.body.size() > k_max_reply_bytes && call->done) {
             call->handle.cancel();
@@ -50,12 +71,7 @@
     attempt_parameters options;
     options.address = address;
     options.time_left = limit;
-    call->timer = traffic.timers.after(limit, [call] {
-        if (call->done) {
-            call->handle.cancel();
-            call->end(std::nullopt);
-        }
-    });
+    start_limit(traffic, call, limit);
     call->handle = traffic.targets.open(std::move(request), std::move(options), std::move(events));
 }
 
