Let a target take its time to read a large request

Callers saw: a request whose body does not fit into the target's receive window was cut after 500 ms if the target was busy and did not read yet; it was then answered 502, as it might have run.

Cause: the kernel applies TCP_USER_TIMEOUT also to a closed window.

Change: for requests above 64 kB the timeout is the time that the request has left. A lost target is found later for these, by the stall timeout or the deadline. Smaller requests fit into the window and keep 500 ms.

Tests: "a target may take its time to read a request" fails before in the row "large, read late".

--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -3,6 +3,7 @@
 #include "lovage/adapters/gateway/connection_fields.h"
 #include "lovage/adapters/settings.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -23,6 +24,9 @@
 // depend on it, since no connect shows first whether the target is reachable. TCP recovers from two
 // consecutive lost packets within this time.
 constexpr milliseconds k_tcp_user_timeout{500};
+// Largest request that fits into the receive window of a target that does not read yet. With a larger one the
+// window may close, and the kernel counts the time until the target reads on towards the timeout above.
+constexpr std::size_t k_max_unread_request_bytes = 65'536;
 // Seconds before the first keepalive probe and between probes, and the number of probes; the minimum of each.
 constexpr int k_keepalive = 1;
 constexpr std::uint32_t k_max_response_head_bytes = 65'536;
@@ -46,12 +50,16 @@
     return text + "\r\n";
 }
 
+void set_user_timeout(tcp::socket& socket, milliseconds timeout) {
+    const auto timeout_ms = static_cast<unsigned>(std::max<std::int64_t>(timeout.count(), 1));
+    // If this fails, an unreachable target is detected later, by the timeouts of the request.
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+}
+
 void set_options(tcp::socket& socket) {
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    const auto timeout_ms = static_cast<unsigned>(k_tcp_user_timeout.count());
-    // If this fails, an unreachable target is detected later, by the timeouts of the request.
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+    set_user_timeout(socket, k_tcp_user_timeout);
     // Keepalive probes detect a target that is lost during prefill, when nothing else is sent to it.
     const int on = 1;
     ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
@@ -106,6 +114,9 @@
 
 void target_exchange::write() {
     m_phase = exchange_phase::reading_head;
+    if (m_request->body.size() > k_max_unread_request_bytes) {
+        set_user_timeout(m_connection->socket, m_options.time_left);
+    }
     m_connection->has_carried_call_without_id |= m_request->id.empty();
     m_head_text = head_text(*m_request, m_codec.encode_attempt(*m_request, m_options));
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head_text), asio::buffer(m_request->body)};
@@ -196,6 +207,9 @@
     m_phase = exchange_phase::finished;
     const bool is_reusable = m_parser->keep_alive() && m_is_request_sent && m_connection->buffer.size() == 0;
     if (is_reusable) {
+        if (m_request->body.size() > k_max_unread_request_bytes) {
+            set_user_timeout(m_connection->socket, k_tcp_user_timeout);
+        }
         m_release(std::move(m_connection));
     } else {
         // Operations in progress still refer to the connection, so it is destroyed with the exchange.
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -16,9 +17,13 @@
     std::vector<std::string> answers;
     bool stays_open = false;
     bool is_reset = false;
+    /// Waits for this long before it reads.
+    std::chrono::milliseconds pause{0};
+    /// Bytes of the body of each request.
+    std::size_t body_bytes = 0;
 };
 
-/// A target on loopback that serves one scripted connection after the other. Requests have no body.
+/// A target on loopback that serves one scripted connection after the other.
 class scripted_server {
 public:
     explicit scripted_server(std::vector<scripted_connection> script)
@@ -73,6 +78,7 @@
     }
 
     void serve(tcp::socket& socket, const scripted_connection& planned) {
+        std::this_thread::sleep_for(planned.pause);
         std::string buffer;
         for (const auto& answer : planned.answers) {
             boost::system::error_code failure;
@@ -86,6 +92,14 @@
                 m_requests.push_back(buffer.substr(0, size));
             }
             buffer.erase(0, size);
+            if (buffer.size() < planned.body_bytes) {
+                boost::asio::read(socket, boost::asio::dynamic_buffer(buffer),
+                                  boost::asio::transfer_exactly(planned.body_bytes - buffer.size()), failure);
+                if (failure) {
+                    return;
+                }
+            }
+            buffer.erase(0, planned.body_bytes);
             boost::asio::write(socket, boost::asio::buffer(answer), failure);
         }
     }
--- a/tests/unit/target_pool_test.cpp
+++ b/tests/unit/target_pool_test.cpp
@@ -62,6 +62,14 @@
         return run(get_request(), std::move(parameters), address, stall);
     }
 
+    /// Sends a request with a body.
+    outcome send_body(const std::string& address, std::size_t body_bytes) {
+        auto request = get_request();
+        request->method = "POST";
+        request->body = std::string(body_bytes, 'x');
+        return run(std::move(request), {}, address, milliseconds(0));
+    }
+
     /// Starts an attempt whose reading is resumed at once, as by the drained backlog of an earlier attempt.
     outcome send_and_resume_reading(const std::string& address) {
         attempt_parameters parameters;
@@ -233,6 +241,41 @@
     CHECK(server.requests().size() == 2);
 }
 
+struct upload_case {
+    const char* name;
+    std::size_t body_bytes;
+    milliseconds pause;
+};
+
+// Guards against a request that is cut, after its target may have begun to run it, because a busy target
+// reads a large body late.
+TEST_CASE("a target may take its time to read a request") {
+    const auto test = GENERATE(from_range(std::vector<upload_case>{
+        {"small", 1'000, milliseconds(1'200)},
+        {"large, read at once", 8'000'000, milliseconds(0)},
+        {"large, read late", 8'000'000, milliseconds(1'200)},
+    }));
+    CAPTURE(test.name);
+    scripted_connection planned{{k_answer}};
+    planned.pause = test.pause;
+    planned.body_bytes = test.body_bytes;
+    scripted_server server({planned});
+    pool_client client;
+    const auto outcome = client.send_body(server.address(), test.body_bytes);
+    CAPTURE(outcome.detail);
+    CHECK(outcome.is_complete);
+    CHECK(outcome.body == "ok");
+}
+
+// Guards against a request that runs twice: it was read before the target reset its connection.
+TEST_CASE("a reset of a connection that carried the request is not reported as unreachable") {
+    scripted_server server({{{""}, false, true}});
+    pool_client client;
+    const auto outcome = client.send(server.address());
+    CHECK(outcome.failure == attempt_end::broken);
+    CHECK(server.requests().size() == 1);
+}
+
 // Guards against a body of bytes that the target never sent: reading was resumed before the head had arrived.
 TEST_CASE("reading that is resumed before the head reads no body") {
     const bool is_reused = GENERATE(false, true);
