Count pings of an engine as progress only while it computes a prompt

Callers saw: a generation that stalled at an engine which went on sending pings never ended unless its caller had set a deadline.

Cause: any event of the stream started the silence anew.

Change: tokens show progress; pings do so before the first token, for at most 120 s.

Test: "pings show progress only while a prompt is computed" fails before in both rows.

--- a/include/lovage/core/engine_stall.h
+++ b/include/lovage/core/engine_stall.h
@@ -13,8 +13,33 @@
     /// The load endpoint counts as responding for this long after a response: two polls of 200 ms and the
     /// time of a slow response.
     milliseconds max_load_age{600};
+    /// Time that an engine may spend on computing a prompt: a prompt of 10^6 tokens at 10^4 tokens a second,
+    /// with some reserve.
+    milliseconds max_prompt_time{120'000};
 };
 
+/// The progress of a stream of an engine.
+struct engine_progress {
+    time_point started{};
+    /// The last event that shows progress; `started` before the first.
+    time_point last{};
+    bool has_token = false;
+};
+
+/// Records the arrival of a token.
+constexpr void record_token(engine_progress& progress, time_point now) {
+    progress.has_token = true;
+    progress.last = now;
+}
+
+/// Records a ping, by which an engine shows that it computes the prompt. After the first token it shows only
+/// that the connection works.
+constexpr void record_ping(engine_progress& progress, time_point now, const engine_stall_timeouts& limits) {
+    if (!progress.has_token && now - progress.started <= limits.max_prompt_time) {
+        progress.last = now;
+    }
+}
+
 /// Returns whether a stream that has received nothing for `silence` has stalled. `load_age` is the time since
 /// the load endpoint last responded.
 constexpr bool is_stream_stalled(time_point::duration silence, time_point::duration load_age,
--- a/src/adapters/engine_http.cpp
+++ b/src/adapters/engine_http.cpp
@@ -350,7 +350,8 @@
 // Forwards the events of a stream until it ends, stalls or is cancelled.
 result<engine_finish> engine_http::state::forward_events(stream_channel& channel, token_index next,
                                                          const engine_stream& stream) {
-    time_point last_event = monotonic_now();
+    const time_point started = monotonic_now();
+    engine_progress progress{started, started, false};
     while (true) {
         std::deque<sse_event> events;
         std::optional<error> ended;
@@ -368,8 +369,8 @@
             return fail(error_kind::cancelled, "the generation was cancelled");
         }
         for (const auto& event : events) {
-            last_event = monotonic_now();
             if (event.event == "token") {
+                record_token(progress, monotonic_now());
                 auto parsed = parse_token(event.data);
                 if (!parsed) {
                     return tl::unexpected<error>(std::move(parsed.error()));
@@ -387,12 +388,14 @@
                     return fail(error_kind::target_failed, "the engine's done event has another total");
                 }
                 return finish;
+            } else if (event.event == "ping") {
+                record_ping(progress, monotonic_now(), options.silence);
             }
         }
         if (ended) {
             return tl::unexpected<error>(std::move(*ended));
         }
-        if (is_stream_stalled(monotonic_now() - last_event, load_age(), options.silence)) {
+        if (is_stream_stalled(monotonic_now() - progress.last, load_age(), options.silence)) {
             counters.count("engine_abandoned_total");
             return fail(error_kind::target_failed, "the engine is silent");
         }
--- a/tests/unit/target_http_test.cpp
+++ b/tests/unit/target_http_test.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds k_poll_interval{20};
+constexpr std::chrono::milliseconds k_ping_interval{100};
+constexpr const char* k_ping = "event: ping\ndata: {}\n\n";
 
 // A fake engine over HTTP: it responds to a generation with the scripted status and pieces of the stream,
 // then ends the stream or stalls with the connection open.
@@ -56,6 +58,7 @@
     int order_status = 200;
     std::vector<std::string> pieces;
     bool stays_silent = false;
+    bool keeps_pinging = false;
     std::atomic<bool> answers_load{true};
     std::atomic<int> cancels{0};
     std::atomic<bool> is_stopped{false};
@@ -92,6 +95,10 @@
             if (at < pieces.size()) {
                 return pieces[at++];
             }
+            if (keeps_pinging && !is_stopped) {
+                std::this_thread::sleep_for(k_ping_interval);
+                return k_ping;
+            }
             while (stays_silent && !is_stopped) {
                 std::this_thread::sleep_for(k_poll_interval);
             }
@@ -118,7 +125,7 @@
 engine_http_options options_for(const std::string& address) {
     engine_http_options options;
     options.address = address;
-    options.silence = {milliseconds(800), milliseconds(300), milliseconds(400)};
+    options.silence = {milliseconds(800), milliseconds(300), milliseconds(400), milliseconds(600)};
     options.load_interval = milliseconds(50);
     return options;
 }
@@ -227,6 +234,50 @@
     CHECK(wait_until([&] { return (*engine)->abandoned() == 0; }));
 }
 
+struct ping_case {
+    const char* name;
+    std::vector<std::string> pieces;
+    std::size_t tokens;
+    int at_least_ms;
+    int at_most_ms;
+};
+
+// Guards against a stalled generation that never ends because its engine sends pings now and then, and
+// against a long prompt that is given up although its engine shows that it computes it.
+TEST_CASE("pings show progress only while a prompt is computed") {
+    const auto test = GENERATE(from_range(std::vector<ping_case>{
+        {"after a token", {token_piece(0)}, 1, 800, 1'300},
+        {"longer than a prompt takes", {}, 0, 1'300, 2'000},
+    }));
+    CAPTURE(test.name);
+    scripted_engine server;
+    server.pieces = test.pieces;
+    server.keeps_pinging = true;
+    metrics counters;
+    const auto engine = engine_http::create(options_for(server.address), counters);
+    REQUIRE(engine);
+    REQUIRE(wait_until([&] { return (*engine)->port().load().has_value(); }));
+    std::size_t tokens = 0;
+    engine_stream stream;
+    stream.on_token = [&tokens](token_index, const token&) {
+        ++tokens;
+        return true;
+    };
+    const auto begin = std::chrono::steady_clock::now();
+    // Bounds the test where the stream never ends.
+    stream.is_cancelled = [&begin] {
+        return std::chrono::steady_clock::now() - begin > std::chrono::seconds(4);
+    };
+    const auto finished = (*engine)->port().generate({{0, 1}, {2}, 1}, {}, {}, stream);
+    const auto took = std::chrono::steady_clock::now() - begin;
+    REQUIRE_FALSE(finished);
+    CHECK(finished.error().kind == error_kind::target_failed);
+    CHECK(tokens == test.tokens);
+    CHECK(took >= std::chrono::milliseconds(test.at_least_ms));
+    CHECK(took <= std::chrono::milliseconds(test.at_most_ms));
+    server.is_stopped = true;
+}
+
 // Guards against a cancelled generation that continues in the engine.
 TEST_CASE("a cancelled engine stream is left at once and cancelled in the engine") {
     scripted_engine server;
