--- a/tests/unit/answer_session_test.cpp
+++ b/tests/unit/answer_session_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <thread>
+#include <vector>
 
 namespace lovage {
 
@@ -60,6 +62,31 @@
     CHECK(failures[0].retry_after_ms == 250);
 }
 
+struct held_up_case {
+    const char* name;
+    milliseconds hold_up;
+    bool is_left;
+};
+
+// Guards against an answer that is taken from its home because the process, not the home, was held up.
+TEST_CASE("silence while the process was held up is not the home's") {
+    const auto test = GENERATE(from_range(std::vector<held_up_case>{
+        {"silent home", milliseconds(0), true},
+        {"held up", milliseconds(1'100), false},
+    }));
+    CAPTURE(test.name);
+    fake_peers peers;
+    peers.set_connected("e2", true);
+    const auto context = context_with(peers);
+    const auto session = answer_session::create(context, {k_request, {}, 1, false});
+    const auto started = monotonic_now();
+    session->start_as_relay({});
+    context->timers->at(started + milliseconds(50), [&test] { std::this_thread::sleep_for(test.hold_up); });
+    std::this_thread::sleep_for(milliseconds(1'400));
+    CHECK(peers.sent<detach_message>("e2").empty() == !test.is_left);
+    context->timers->stop();
+}
+
 } // namespace
 
 } // namespace lovage
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -1,7 +1,10 @@
 #include "support/fake_gateway.h"
 
+#include "lovage/traffic/target_call.h"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 
 namespace lovage {
 
@@ -627,6 +630,116 @@
     CHECK(gateway.attempts.back()->pauses.empty() == is_lost);
 }
 
+struct late_event_case {
+    const char* name;
+    std::function<void(const attempt_events&)> late;
+};
+
+// Guards against an answer or a failure of a lost attempt that is taken for one of the attempt after it.
+TEST_CASE("late events of a lost attempt are ignored") {
+    const auto test = GENERATE(from_range(std::vector<late_event_case>{
+        {"head", [](const attempt_events& events) { events.on_head(fake_gateway::head(500)); }},
+        {"refusal",
+         [](const attempt_events& events) {
+             auto head = fake_gateway::head(503);
+             head.is_not_run = true;
+             events.on_head(head);
+         }},
+        {"body", [](const attempt_events& events) { events.on_body("late"); }},
+        {"end", [](const attempt_events& events) { events.on_end(); }},
+        {"failure",
+         [](const attempt_events& events) { events.on_failure(attempt_end::unreachable, "scripted"); }},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 3);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0)->events;
+    first.on_failure(attempt_end::broken, "scripted");
+    REQUIRE(gateway.attempts.size() == 2);
+    const auto second = gateway.attempts[1]->events;
+    second.on_head(fake_gateway::head(200));
+    second.on_body("answer");
+    test.late(first);
+    CHECK(gateway.attempts.size() == 2);
+    CHECK_FALSE(gateway.attempts[1]->is_cancelled);
+    second.on_end();
+    CHECK(gateway.caller.status == 200);
+    CHECK(gateway.caller.body == "answer");
+    CHECK(gateway.caller.replies.empty());
+}
+
+// Guards against a management call whose result is reported twice.
+TEST_CASE("a call to a target ends once although its limit expires after the reply") {
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 1);
+    gateway.ignores_cancellation = true;
+    std::vector<std::optional<target_reply>> replies;
+    send_target_request(gateway.traffic, "10.0.0.1:80", std::make_shared<forwarded_request>(),
+                        milliseconds(100), [&replies](auto reply) { replies.push_back(std::move(reply)); });
+    const auto events = gateway.attempts.at(0)->events;
+    events.on_head(fake_gateway::head(200));
+    events.on_end();
+    gateway.advance(milliseconds(200));
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0]);
+}
+
+// Guards against a generation that starts although its caller left while it waited for an engine.
+TEST_CASE("a request that ended while it waited for an engine is not started") {
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 1);
+    auto& usage = gateway.traffic.usage["t1"];
+    usage.memory_tokens = fake_gateway::k_engine_tokens;
+    const auto request = gateway.request();
+    REQUIRE(gateway.traffic.admission["service"].queue.size == 1);
+    schedule_dispatch(gateway.traffic, "service", milliseconds(50));
+    request->on_caller_disconnected();
+    usage.memory_tokens = 0;
+    gateway.advance(milliseconds(3'000));
+    CHECK(gateway.attempts.empty());
+    CHECK(gateway.traffic.admission["service"].queue.size == 0);
+}
+
+struct lapsed_case {
+    const char* name;
+    request_kind kind;
+    std::uint32_t max_attempts;
+};
+
+// Guards against work that is given up or started again elsewhere because the entry of its target has lapsed:
+// the target may have been slow to renew it.
+TEST_CASE("requests at a target whose entry has lapsed go on") {
+    const auto test = GENERATE(from_range(std::vector<lapsed_case>{
+        {"publish", request_kind::non_idempotent, 1},
+        {"read", request_kind::idempotent, 2},
+        {"stream", request_kind::streaming, 5},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(test.kind, test.max_attempts, 3);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    auto targets = std::make_shared<std::map<std::string, target_list>>(*view->targets);
+    auto& list = targets->at("service");
+    list.erase(std::remove_if(list.begin(), list.end(),
+                              [&](const auto& target) { return target.id == first->options.target_id; }),
+               list.end());
+    view->targets = targets;
+    apply_view(gateway.traffic, view);
+    gateway.advance(milliseconds(300));
+    first->events.on_head(fake_gateway::head(200));
+    first->events.on_body(fake_gateway::event(1));
+    gateway.advance(milliseconds(300));
+    first->events.on_body(fake_gateway::event(2));
+    first->events.on_end();
+    CHECK(gateway.attempts.size() == 1);
+    CHECK_FALSE(first->is_cancelled);
+    CHECK(gateway.caller.is_finished);
+    CHECK(gateway.caller.body == fake_gateway::event(1) + fake_gateway::event(2));
+}
+
 } // namespace
 
 } // namespace lovage
