Keep a target drained by operators until it restarts

A target that was drained with lovagectl was in use again after a short loss of its connection to an entry, and at entries that were restarted or cut off at that moment.

Cause: each new connection reset the drain, and it was sent only to the entries connected at that moment.

Change: the drain is kept for the incarnation that was drained, and an entry that connects to another one is told of it.

Conclusion: if all entries restart at once the drain is forgotten; it is not in the store.

--- a/include/lovage/core/routing.h
+++ b/include/lovage/core/routing.h
@@ -24,6 +24,8 @@
     bool connected = false;
     /// The agent announced its shutdown, or the membership lists it as leaving.
     bool leaving = false;
+    /// The incarnation that operators have drained, 0 for the one that connects next; empty if none was.
+    std::optional<lovage::incarnation> drained;
     /// The last load report; default values before the first.
     load_report_message report;
     time_point reported_at{};
--- a/include/lovage/traffic/target_table.h
+++ b/include/lovage/traffic/target_table.h
@@ -21,10 +21,12 @@
     /// Applies the zone and the drain state of the agents in the view. Agents that are no longer in the view
     /// are dropped once they are disconnected and nothing is in flight there.
     void update_members(const fleet_view& view);
-    /// Records a new connection, or its loss if `agent_incarnation` is 0. Both reset the drain state and the
-    /// load report.
+    /// Records a new connection, or its loss if `agent_incarnation` is 0. Both reset what the agent reported;
+    /// a drain by operators ends with the incarnation that they drained.
     void set_connected(const node_id& node, incarnation agent_incarnation);
     void set_leaving(const node_id& node);
+    /// Records that operators have drained the target, or the one that connects next under this name.
+    void set_drained(const node_id& node);
     void set_report(const node_id& node, const load_report_message& report, time_point now);
 
     /// Chooses a target with `choose_target` and counts an attempt in flight there until `release`. Returns
--- a/src/traffic/entry_service.cpp
+++ b/src/traffic/entry_service.cpp
@@ -166,6 +166,13 @@
     }
     if (hello.role == node_role::agent) {
         m_targets->set_connected(hello.node, hello.incarnation);
+        return;
+    }
+    // The entry may have been restarted or cut off when operators drained a target.
+    for (const auto& target : m_targets->snapshot()) {
+        if (target.drained) {
+            m_peers.send(hello.node, goodbye_message{target.node});
+        }
     }
 }
 
@@ -254,8 +261,8 @@
 void entry_service::handle(const node_id& from, const goodbye_message& message) {
     if (is_agent(from)) {
         m_targets->set_leaving(from);
-    } else if (is_agent(message.node)) {
-        m_targets->set_leaving(message.node);
+    } else if (message.node != from) {
+        m_targets->set_drained(message.node);
     }
 }
 
@@ -269,7 +276,7 @@
     if (!agent) {
         return std::nullopt;
     }
-    m_targets->set_leaving(*agent);
+    m_targets->set_drained(*agent);
     std::vector<node_id> entries;
     {
         const std::lock_guard lock(m_mutex);
--- a/src/traffic/target_table.cpp
+++ b/src/traffic/target_table.cpp
@@ -47,9 +47,15 @@
     target_state& target = entry(node);
     target.connected = agent_incarnation != 0;
     target.incarnation = agent_incarnation;
-    // A new connection means that the agent has restarted or a partition has ended, so the old state is void
-    // until its next report.
-    target.leaving = false;
+    if (target.connected && target.drained == incarnation{0}) {
+        target.drained = agent_incarnation;
+    }
+    if (target.connected && target.drained != agent_incarnation) {
+        target.drained.reset();
+    }
+    // A new connection means that the agent has restarted or a partition has ended, so what it reported is
+    // void until its next report.
+    target.leaving = target.drained.has_value();
     target.report = {};
 }
 
@@ -58,6 +64,13 @@
     entry(node).leaving = true;
 }
 
+void target_table::set_drained(const node_id& node) {
+    const std::lock_guard lock(m_mutex);
+    target_state& target = entry(node);
+    target.leaving = true;
+    target.drained = target.incarnation;
+}
+
 void target_table::set_report(const node_id& node, const load_report_message& report, time_point now) {
     const std::lock_guard lock(m_mutex);
     target_state& target = entry(node);
