Keep prompts on which engines fail from further engines (entry)

A generation whose prompt crashes its engine was tried at up to six engines, and again with each new request of its caller.

A prompt on which engines of one version failed at three moments, before the fourth token, without a success since, is refused as prompt_quarantined. Prompts have no parts here, so only the same prompt counts.

Test: "a prompt on which engines fail again and again is kept from further engines" fails with the check off.

Conclusion: entries do not tell each other; a prompt whose requests have different homes costs three moments at each.

--- a/include/lovage/traffic/answer_session.h
+++ b/include/lovage/traffic/answer_session.h
@@ -139,6 +139,7 @@
     void log_decision(session_event event, std::string detail) const;
     void add_ended_request(bool is_complete);
     void add_extra_tokens(std::size_t tokens);
+    void record_survival(std::size_t tokens, time_point now);
     void record_overdue_first_token(time_point now);
     void add_evidence(evidence_event_kind kind);
     void exclude_node(const node_id& node, milliseconds duration, time_point now);
@@ -180,6 +181,8 @@
     std::string m_loss_description;
     // Evidence already reported for the current attempt.
     bool m_first_token_counted = false;
+    /// Whether the attempt in progress has shown that its engine survives the prompt.
+    bool m_has_survived_prompt = false;
     bool m_slow_gap_counted = false;
     std::optional<time_point> m_retry_at;
     std::optional<time_point> m_adoption_deadline;
--- a/include/lovage/traffic/session_context.h
+++ b/include/lovage/traffic/session_context.h
@@ -7,6 +7,7 @@
 #include "lovage/ports/peer_port.h"
 #include "lovage/traffic/dispatch_scheduler.h"
 #include "lovage/traffic/evidence_recorder.h"
+#include "lovage/traffic/generation_quarantine.h"
 #include "lovage/traffic/service_record.h"
 #include "lovage/traffic/target_table.h"
 #include "lovage/traffic/timer_queue.h"
@@ -42,6 +43,7 @@
     std::shared_ptr<const view_publisher> views;
     std::shared_ptr<evidence_recorder> evidence;
     std::shared_ptr<service_record> record;
+    std::shared_ptr<generation_quarantine> quarantine;
     std::function<answer_id()> new_answer_id;
     /// Adds to a counter.
     std::function<void(const std::string& name, double by)> count;
--- a/src/traffic/answer_session.cpp
+++ b/src/traffic/answer_session.cpp
@@ -227,6 +227,7 @@
     if (m_log.tokens.size() > before) {
         m_losses_without_progress = 0;
         record_token_latency(m_log.tokens.size() - before, now);
+        record_survival(k_events_to_clear, now);
     }
     apply(outcome, from, message.ref, now);
 }
@@ -279,6 +280,9 @@
     // agent and entry are not.
     if (message.kind == error_kind::target_failed && !message.not_run) {
         add_evidence(evidence_event_kind::failure);
+        if (m_log.tokens.size() - m_attempt_first < k_events_to_clear) {
+            m_context->quarantine->record_crash(m_spec, from, now);
+        }
     }
     if (message.not_run && m_possible_runs > 0) {
         --m_possible_runs;
@@ -542,6 +546,12 @@
         m_spec.model_version = has_version(serving.version) ? serving.version : serving.fallback;
     }
     for (;;) {
+        if (m_context->quarantine->is_quarantined(m_spec)) {
+            count("generations_quarantined_total");
+            end_failed({error_kind::prompt_quarantined, "engines failed on the prompt several times", {}},
+                       can_state_not_run(now));
+            return;
+        }
         const bool is_served = has_version(m_spec.model_version);
         const auto acquired = is_served ? acquire_target(*view, now) : std::optional<node_id>{};
         if (!acquired && m_log.tokens.empty()) {
@@ -596,6 +606,7 @@
     }
     m_target = node;
     m_attempt_first = static_cast<token_index>(m_log.tokens.size());
+    m_has_survived_prompt = false;
     m_last_heard = now;
     start_attempt_latency(now);
     m_waiting_since.reset();
@@ -679,6 +690,14 @@
     }
 }
 
+// Records that the engine of the attempt in progress has generated at least `tokens` from the prompt.
+void answer_session::record_survival(std::size_t tokens, time_point now) {
+    if (m_target && !m_has_survived_prompt && m_log.tokens.size() - m_attempt_first >= tokens) {
+        m_has_survived_prompt = true;
+        m_context->quarantine->record_success(m_spec, now);
+    }
+}
+
 void answer_session::record_overdue_first_token(time_point now) {
     if (!m_first_token_counted && is_first_token_overdue(m_attempt_latency, m_objective, now)) {
         m_first_token_counted = true;
@@ -970,6 +989,7 @@
 }
 
 void answer_session::end_finished() {
+    record_survival(0, monotonic_now());
     if (m_target) {
         m_context->targets->record_outcome(*m_target, true, monotonic_now());
         if (m_role == session_role::home && !m_slow_gap_counted && has_slow_gaps(m_attempt_latency)) {
--- a/src/traffic/entry_service.cpp
+++ b/src/traffic/entry_service.cpp
@@ -57,6 +57,7 @@
     context->views = m_views;
     context->evidence = m_evidence;
     context->record = m_record;
+    context->quarantine = std::make_shared<generation_quarantine>();
     context->count = std::move(count);
     context->new_answer_id = [this] {
         const std::lock_guard lock(m_mutex);
--- a/tests/unit/answer_session_test.cpp
+++ b/tests/unit/answer_session_test.cpp
@@ -33,6 +33,7 @@
     context->views = views;
     context->evidence = std::make_shared<evidence_recorder>();
     context->record = std::make_shared<service_record>();
+    context->quarantine = std::make_shared<generation_quarantine>();
     context->new_answer_id = [] { return answer_id{7}; };
     context->count = [](const std::string&, double) {};
     context->record_dispatched = [](const request_id&) {};
--- a/tests/unit/entry_service_test.cpp
+++ b/tests/unit/entry_service_test.cpp
@@ -364,6 +364,47 @@
     CHECK(evidence.items[0].failures == test.failures);
 }
 
+struct crashing_case {
+    const char* name;
+    /// Tokens that the engine generates before it fails.
+    std::size_t tokens;
+    /// Whether a further request with the same prompt is refused.
+    bool is_refused;
+};
+
+// Guards against a prompt that crashes engine after engine because its callers come back with new requests.
+TEST_CASE("a prompt on which engines fail again and again is kept from further engines") {
+    const auto test = GENERATE(from_range(std::vector<crashing_case>{
+        {"fails at once", 0, true},
+        {"fails later", k_events_to_clear, false},
+    }));
+    CAPTURE(test.name);
+    test_fleet fleet({"e1"}, {"a1"});
+    auto& entry = fleet.entries["e1"];
+    std::vector<subscription> readers;
+    for (const char* key : {"k1", "k2", "k3"}) {
+        auto reader = entry.service->generate(request_of(key));
+        REQUIRE(reader);
+        readers.push_back(std::move(*reader));
+        auto [agent, generate] = fleet.next_attempt();
+        REQUIRE(agent != nullptr);
+        if (test.tokens > 0) {
+            const auto first = static_cast<token_index>(generate.accepted.size());
+            agent->send("e1", tokens_message{generate.ref, first,
+                                             texts(first, first + static_cast<token_index>(test.tokens))});
+        }
+        agent->send("e1", failed_message{generate.ref, error_kind::target_failed, "crash", false, 0});
+        fleet.network.wait_delivered();
+        std::this_thread::sleep_for(k_crash_moment + milliseconds(20));
+    }
+    auto reader = entry.service->generate(request_of("k4"));
+    REQUIRE(reader);
+    const auto answer = reader->read(milliseconds(200));
+    CHECK((answer.kind == read_result_kind::failed) == test.is_refused);
+    CHECK((answer.failure.kind == error_kind::prompt_quarantined) == test.is_refused);
+    CHECK((entry.counts->value("generations_quarantined_total") > 0) == test.is_refused);
+}
+
 // Guards against decisions that are missing in the log, and against a request that is counted twice or not at
 // all.
 TEST_CASE("decisions and the end of a request are recorded") {
