Let requests on their way to a stopping entry get an answer

Callers saw: an entry without requests in progress exited at once on SIGTERM and reset connections on which a request was half read or about to arrive; answers that were being sent were cut.

Cause: the HTTP server counts a request only while its handler runs.

Change: the entry goes on for 500 ms after the last request it knows of, within its grace period.

Test: "SIGTERM lets requests that are on their way get an answer".

Conclusion: a request whose rest takes longer than 500 ms is still cut.

--- a/src/programs/lovage-entry/main.cpp
+++ b/src/programs/lovage-entry/main.cpp
@@ -22,6 +22,9 @@
 namespace {
 
 constexpr milliseconds k_drain_poll{20};
+// The HTTP server counts a request from the end of its reading to the return of its handler. Requests that
+// are on their way when the last one ends, and answers that are being sent, get this long.
+constexpr milliseconds k_settle_time{500};
 constexpr milliseconds k_evidence_interval{1'000};
 
 incarnation start_incarnation() {
@@ -93,9 +96,15 @@
 void drain(const entry_settings& settings, entry_service& service, const http_server& server) {
     log_event(log_level::info, "leaving", {{"live_answers", std::to_string(service.live_answers())}});
     service.leave();
-    const time_point end = monotonic_now() + settings.grace;
-    while (server.open_connections() + service.live_answers() > 0 && monotonic_now() < end) {
+    time_point now = monotonic_now();
+    const time_point end = now + settings.grace;
+    time_point last_busy = now;
+    while (now < end && now - last_busy < k_settle_time) {
         std::this_thread::sleep_for(k_drain_poll);
+        now = monotonic_now();
+        if (server.open_connections() + service.live_answers() > 0) {
+            last_busy = now;
+        }
     }
 }
 
--- a/tests/process/entry_test.cpp
+++ b/tests/process/entry_test.cpp
@@ -3,8 +3,10 @@
 #include "lovage/adapters/http_client.h"
 #include "lovage/adapters/metrics.h"
 #include "lovage/adapters/peer_endpoint.h"
+#include "lovage/adapters/settings.h"
 
 #include <atomic>
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <csignal>
@@ -480,6 +482,45 @@
     CHECK(fleet.entries[0].process->wait_for_exit(milliseconds(5'000)) == 0);
 }
 
+struct late_request_case {
+    const char* name;
+    /// What the caller sends before the signal and after it.
+    std::string before;
+    std::string after;
+};
+
+// Guards against requests that a planned stop resets because they were on their way or half read, so that
+// their callers cannot know whether they ran.
+TEST_CASE("SIGTERM lets requests that are on their way get an answer") {
+    const std::string body = R"({"service": "s", "prompt": "p", "max_tokens": 5, "stream": false})";
+    const std::string head =
+        "POST /v1/generations HTTP/1.1\r\nHost: e\r\nX-Organisation: o\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n";
+    const auto test = GENERATE_COPY(from_range(std::vector<late_request_case>{
+        {"on an open connection", "", head + body},
+        {"half of the head", head.substr(0, 30), head.substr(30) + body},
+        {"without its body", head, body},
+    }));
+    CAPTURE(test.name);
+    process_fleet fleet(1, 1, milliseconds(5));
+    const auto address = parse_endpoint(fleet.entries[0].http_address);
+    REQUIRE(address);
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket caller(io);
+    caller.connect({boost::asio::ip::make_address(address->ip), address->port});
+    boost::asio::write(caller, boost::asio::buffer(test.before));
+    std::this_thread::sleep_for(milliseconds(100));
+    fleet.entries[0].process->send_signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(200));
+    boost::system::error_code failure;
+    boost::asio::write(caller, boost::asio::buffer(test.after), failure);
+    std::string answer;
+    boost::asio::read_until(caller, boost::asio::dynamic_buffer(answer), "\r\n", failure);
+    CHECK(answer.find("HTTP/1.1 ") == 0);
+    caller.close();
+    CHECK(fleet.entries[0].process->wait_for_exit(milliseconds(5'000)) == 0);
+}
+
 } // namespace
 
 } // namespace lovage
