--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -255,6 +255,24 @@
     check_complete(await call(f.port, "stream"))
 
 
+async def nothing_withdrawn_returns_after_a_restart(f):
+    """Guards against a withdrawn key, a draining server or one that has left that a restarted process uses again."""
+    out_of_use = f.world.plain[:2]
+    check_complete(await call(f.port, "read", "key-2"))
+    out_of_use[0].register("draining")
+    out_of_use[1].unregister()
+    f.world.keys = ["key-1"]
+    f.world.configure()
+    await asyncio.sleep(1.0)
+    await f.gateways[0].stop()
+    before = [len(server.runs) for server in out_of_use]
+    await f.gateways[0].start()
+    for _ in range(10):
+        check((await call(f.port, "read", "key-2")).status == 401, "a revoked key is accepted")
+        check_complete(await call(f.port, "read"))
+    check([len(server.runs) for server in out_of_use] == before, "a server that left got new work")
+
+
 async def stopped_work_of_gone_callers(f):
     """Guards against generations that continue after their caller has disconnected."""
     task = asyncio.create_task(call(f.port, "stream"))
@@ -314,7 +332,7 @@
          read_is_repeated_once, draining_server_gets_no_new_work, restarted_server_is_found, revoked_key_is_closed,
          lost_store_closes_keys, forgotten_history_is_read_again, planned_stop_cuts_nothing,
          planned_stop_waits_for_slow_callers,
-         killed_process_serves_again, stopped_work_of_gone_callers,
+         killed_process_serves_again, nothing_withdrawn_returns_after_a_restart, stopped_work_of_gone_callers,
          good_version_is_moved_to, version_is_taken_back_if_it_may_be_too_many, bad_version_is_taken_back]
 CASES += [make_endless_case(mode) for mode in ENDLESS]
 
