Handle each request by the newest published view

Cause (by reading): the control thread announces a view with a handler on the traffic thread's queue. A busy thread handles the requests that were queued before it by the view before, for as long as it is behind.

Change: the view is published through an atomic pointer as well, which is read when a request starts and before each attempt. An announcement that comes after a newer view is ignored.

Test: "a request is handled by the newest published view"; with the two reads removed the row "a withdrawn key" fails.

Conclusion: the delay of a view no longer depends on the traffic thread's backlog.

--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -63,6 +63,8 @@
     /// Clock that also advances while the machine is suspended.
     std::function<boot_time()> boot_clock;
     gateway_view_ptr view = std::make_shared<gateway_view>();
+    /// Returns the view that the control thread has published last; null function for none.
+    std::function<gateway_view_ptr()> newest_view;
     std::unordered_map<std::string, target_usage> usage;
     /// What targets have asked of this process, by target id. Kept while a target has no entry in the view,
     /// since entries may lapse and return.
@@ -83,9 +85,14 @@
     std::set<proxied_request*> requests;
 };
 
-/// Replaces the view and drops the state of targets that are no longer in it.
+/// Replaces the view by a newer one and drops the state of targets that are no longer in it. Ignores a view
+/// that is older than the current one.
 void apply_view(gateway_traffic& traffic, gateway_view_ptr view);
 
+/// Applies the newest published view. A busy thread handles the announcement of a view only after the
+/// requests that were queued before it.
+void refresh_view(gateway_traffic& traffic);
+
 /// Returns the ready targets of one side of a service (its usual version, or the one that is rolled out) that
 /// accept requests, with the load that this process and its peers place on them. If that side has none,
 /// returns the targets of the other side, provided that it may take the requests.
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -13,6 +13,7 @@
 #include "lovage/adapters/metrics.h"
 #include "lovage/adapters/program.h"
 #include "lovage/control/gateway_control.h"
+#include "lovage/control/view_publisher.h"
 #include "lovage/traffic/proxied_request.h"
 
 #include <boost/asio/io_context.hpp>
@@ -69,6 +70,7 @@
     asio::steady_timer m_evidence_timer{m_io};
     metrics m_metrics;
     request_codec m_codec = platform::make_request_codec();
+    gateway_view_publisher m_views;
     gateway_traffic m_traffic;
     std::shared_ptr<target_pool> m_pool;
     std::unique_ptr<caller_server> m_callers;
@@ -94,6 +96,7 @@
     m_traffic.timers = make_timer_port(m_io);
     m_traffic.sink = make_sink();
     m_traffic.boot_clock = boot_now;
+    m_traffic.newest_view = [this] { return m_views.current(); };
     m_traffic.random.seed(std::random_device{}());
 }
 
@@ -119,8 +122,9 @@
     ports.store = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
     ports.writes = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
     ports.publish = [this](gateway_view_ptr view) {
-        asio::post(m_io, [this, view = std::move(view)]() mutable {
-            apply_view(m_traffic, std::move(view));
+        m_views.publish(std::move(view));
+        asio::post(m_io, [this] {
+            refresh_view(m_traffic);
             if (m_traffic.view->table && m_traffic.view->targets) {
                 m_callers->accept();
             }
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -162,7 +162,16 @@
     return failing;
 }
 
+void refresh_view(gateway_traffic& traffic) {
+    if (traffic.newest_view) {
+        apply_view(traffic, traffic.newest_view());
+    }
+}
+
 void apply_view(gateway_traffic& traffic, gateway_view_ptr view) {
+    if (view == traffic.view || view->sequence < traffic.view->sequence) {
+        return;
+    }
     const auto before = std::exchange(traffic.view, std::move(view));
     if (before->newest_change != traffic.view->newest_change) {
         schedule_report(traffic);
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -20,6 +20,7 @@
 
 std::shared_ptr<proxied_request> proxied_request::start(gateway_traffic& traffic, caller_request request,
                                                         caller_port caller, std::function<void()> on_done) {
+    refresh_view(traffic);
     std::shared_ptr<proxied_request> created(
         new proxied_request(traffic, std::move(request), std::move(caller), std::move(on_done)));
     created->admit();
@@ -112,6 +113,7 @@
 }
 
 void proxied_request::send(bool from_copy) {
+    refresh_view(m_traffic);
     // The request may have waited since its admission.
     if (is_quarantined()) {
         refuse(error_kind::prompt_quarantined, k_quarantined_detail);
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -83,6 +83,49 @@
     CHECK(gateway.caller.replies[0].is_not_run);
 }
 
+struct published_view_case {
+    const char* name;
+    std::uint64_t sequence;
+    bool has_key;
+    bool has_targets;
+    /// Nothing if the request is sent to a target.
+    std::optional<error_kind> reply;
+};
+
+// Guards against requests that a busy thread handles by an older configuration, or sends to targets that have
+// left, because the announcement of the newer view waits behind them.
+TEST_CASE("a request is handled by the newest published view") {
+    const auto test = GENERATE(from_range(std::vector<published_view_case>{
+        {"nothing new", 1, true, true, std::nullopt},
+        {"a withdrawn key", 2, false, true, error_kind::unauthenticated},
+        {"no targets any more", 2, true, false, error_kind::no_target},
+        {"an older view", 0, false, false, std::nullopt},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 3);
+    auto applied = std::make_shared<gateway_view>(*gateway.traffic.view);
+    applied->sequence = 1;
+    apply_view(gateway.traffic, applied);
+    auto published = std::make_shared<gateway_view>(*applied);
+    published->sequence = test.sequence;
+    auto table = std::make_shared<route_table>(*applied->table);
+    if (!test.has_key) {
+        table->organisation_by_key.clear();
+    }
+    published->table = table;
+    if (!test.has_targets) {
+        published->targets = std::make_shared<std::map<std::string, target_list>>();
+    }
+    gateway.traffic.newest_view = [published] { return published; };
+    gateway.request();
+    CHECK(gateway.attempts.size() == (test.reply ? 0 : 1));
+    REQUIRE(gateway.caller.replies.size() == (test.reply ? 1 : 0));
+    if (test.reply) {
+        CHECK(gateway.caller.replies[0].kind == *test.reply);
+    }
+}
+
 // Guards against events that are lost, repeated or truncated when a stream is resumed at another target.
 TEST_CASE("a broken stream resumes from its standby copy at the holder, after the last whole event") {
     fake_gateway gateway;
