--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -2,8 +2,8 @@
 
 #include "lovage/adapters/gateway/connection_fields.h"
 
+#include <algorithm>
 #include <array>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -19,6 +19,9 @@
 constexpr std::size_t k_read_block = 16'384;
 // Maximum bytes of pipelined requests that are buffered while one is served.
 constexpr std::size_t k_max_read_ahead = 65'536;
+// A request body must arrive at this rate in bytes per second on average, beyond the timeouts of the limits;
+// callers' links carry far more. Otherwise a caller could hold a connection by single bytes.
+constexpr std::uint64_t k_min_body_rate = 1'000;
 // Time that the caller has to read the last response before the connection is closed.
 constexpr milliseconds k_linger_timeout{1'000};
 
@@ -62,7 +65,7 @@
 caller_session::caller_session(asio::ip::tcp::socket socket, session_host& host,
                                std::function<void(caller_session*)> on_closed)
     : m_socket(std::move(socket)), m_host(host), m_on_closed(std::move(on_closed)),
-      m_timer(m_socket.get_executor()) {}
+      m_timer(m_socket.get_executor()), m_write_timer(m_socket.get_executor()) {}
 
 const caller_limits& caller_session::limits() const {
     static const caller_limits k_default_limits;
@@ -104,10 +107,22 @@
             self->reply_encoded({408, "Request Timeout", {}, ""});
             return;
         }
+        if (self->is_sending()) {
+            // The caller is still reading its last answer; the idle time begins after it.
+            return;
+        }
         self->close();
     });
 }
 
+milliseconds caller_session::body_time_left() const {
+    const auto received = m_parser->get().body().size();
+    const auto allowed = limits().header_timeout + limits().idle_timeout +
+                         milliseconds(static_cast<std::int64_t>(received * 1'000 / k_min_body_rate));
+    const auto left = std::chrono::ceil<milliseconds>(m_first_byte + allowed - monotonic_now());
+    return std::clamp(left, milliseconds(0), limits().idle_timeout);
+}
+
 void caller_session::read() {
     if (m_is_reading || m_phase == session_phase::closed) {
         return;
@@ -127,6 +142,13 @@
     if (m_phase == session_phase::closed) {
         return;
     }
+    if (std::exchange(m_is_closing_idle, false) && failure == asio::error::operation_aborted) {
+        error_code ignored;
+        if (m_socket.available(ignored) > 0) {
+            read();
+            return;
+        }
+    }
     if (failure) {
         const auto request = std::exchange(m_request, nullptr);
         close();
@@ -166,7 +188,7 @@
         return;
     }
     if (m_parser->is_header_done()) {
-        arm_timer(limits().idle_timeout);
+        arm_timer(body_time_left());
         const bool wants_continue =
             boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
         if (wants_continue && !std::exchange(m_is_continue_sent, true)) {
@@ -320,24 +342,46 @@
     if (m_pending.empty()) {
         if (m_closes_after_write) {
             linger();
+        } else if (m_phase == session_phase::reading && !m_has_request_bytes) {
+            arm_timer(limits().idle_timeout);
         }
         return;
     }
     m_is_writing = true;
     m_in_flight = std::exchange(m_pending, {});
-    asio::async_write(m_socket, asio::buffer(m_in_flight),
-                      [self = shared_from_this()](const error_code& failure, std::size_t /*bytes*/) {
-                          self->m_is_writing = false;
-                          self->m_in_flight.clear();
-                          if (failure) {
-                              self->handle_bytes(failure, 0);
-                              return;
-                          }
-                          if (self->m_request) {
-                              self->m_request->on_caller_writable();
-                          }
-                          self->flush();
-                      });
+    m_written = 0;
+    write();
+}
+
+void caller_session::write() {
+    m_write_timer.start(m_host.max_write_silence, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->handle_bytes(asio::error::timed_out, 0);
+        }
+    });
+    m_socket.async_write_some(asio::buffer(m_in_flight) + m_written,
+                              [self = shared_from_this()](const error_code& failure, std::size_t bytes) {
+                                  self->handle_written(failure, bytes);
+                              });
+}
+
+void caller_session::handle_written(const error_code& failure, std::size_t bytes) {
+    m_written += bytes;
+    if (!failure && m_phase != session_phase::closed && m_written < m_in_flight.size()) {
+        write();
+        return;
+    }
+    m_write_timer.cancel();
+    m_is_writing = false;
+    m_in_flight.clear();
+    if (failure) {
+        handle_bytes(failure, 0);
+        return;
+    }
+    if (m_request) {
+        m_request->on_caller_writable();
+    }
+    flush();
 }
 
 void caller_session::linger() {
@@ -354,6 +398,7 @@
         return;
     }
     m_timer.cancel();
+    m_write_timer.cancel();
     error_code ignored;
     m_socket.close(ignored);
     m_on_closed(this);
@@ -363,14 +408,18 @@
     return m_phase == session_phase::serving || m_phase == session_phase::answered;
 }
 
-bool caller_session::is_idle() const {
-    return m_phase == session_phase::reading && !m_has_request_bytes && !m_is_writing;
+bool caller_session::is_busy() const {
+    return is_request_parsed() || is_sending() || (m_phase == session_phase::reading && m_has_request_bytes);
 }
 
 void caller_session::close_if_idle() {
-    if (is_idle()) {
-        close();
+    if (m_phase != session_phase::reading || is_busy()) {
+        return;
     }
+    // A read that has already completed brings its bytes, which cancelling leaves alone.
+    m_is_closing_idle = true;
+    error_code ignored;
+    m_socket.cancel(ignored);
 }
 
 } // namespace lovage
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -21,6 +21,7 @@
 struct session_host {
     const request_codec& codec;
     gateway_traffic& traffic;
+    milliseconds max_write_silence{0};
     bool is_draining = false;
 };
 
@@ -37,9 +38,10 @@
 
     /// Starts reading requests. `on_closed` is called once, when the connection is closed.
     void start();
-    /// Closes the connection unless a request is being read or served.
+    /// Closes the connection unless a request is being read or served, or has arrived.
     void close_if_idle();
-    bool is_idle() const;
+    /// Whether a request is being read or served, or an answer is being sent.
+    bool is_busy() const;
 
 private:
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -59,17 +61,23 @@
     void end_request();
     void queue(const std::string& bytes);
     void flush();
+    void write();
+    void handle_written(const boost::system::error_code& failure, std::size_t bytes);
     void linger();
     void close();
     void arm_timer(milliseconds delay);
+    /// Time until the next part of the request's body must have arrived.
+    milliseconds body_time_left() const;
     /// Whether bytes that arrive belong to a later request than the one that the parser holds.
     bool is_request_parsed() const;
+    bool is_sending() const { return m_is_writing || !m_pending.empty(); }
     const caller_limits& limits() const;
 
     boost::asio::ip::tcp::socket m_socket;
     session_host& m_host;
     std::function<void(caller_session*)> m_on_closed;
     one_shot_timer m_timer;
+    one_shot_timer m_write_timer;
     boost::beast::flat_buffer m_buffer;
     std::optional<parser_type> m_parser;
     std::shared_ptr<proxied_request> m_request;
@@ -77,6 +85,8 @@
     time_point m_first_byte{};
     bool m_has_request_bytes = false;
     bool m_is_reading = false;
+    /// Whether the read in progress was ended to close the connection.
+    bool m_is_closing_idle = false;
     bool m_is_continue_sent = false;
     bool m_keeps_alive = true;
     bool m_is_head_request = false;
@@ -86,6 +96,8 @@
     bool m_is_writing = false;
     std::string m_pending;
     std::string m_in_flight;
+    /// Bytes of `m_in_flight` that have been written.
+    std::size_t m_written = 0;
 };
 
 } // namespace lovage
--- a/src/traffic/entry_service.cpp
+++ b/src/traffic/entry_service.cpp
@@ -57,6 +57,7 @@
     context->views = m_views;
     context->evidence = m_evidence;
     context->record = m_record;
+    context->quarantine = std::make_shared<generation_quarantine>();
     context->count = std::move(count);
     context->new_answer_id = [this] {
         const std::lock_guard lock(m_mutex);
@@ -166,6 +167,13 @@
     }
     if (hello.role == node_role::agent) {
         m_targets->set_connected(hello.node, hello.incarnation);
+        return;
+    }
+    // The entry may have been restarted or cut off when operators drained a target.
+    for (const auto& target : m_targets->snapshot()) {
+        if (target.drained) {
+            m_peers.send(hello.node, goodbye_message{target.node});
+        }
     }
 }
 
@@ -254,8 +262,8 @@
 void entry_service::handle(const node_id& from, const goodbye_message& message) {
     if (is_agent(from)) {
         m_targets->set_leaving(from);
-    } else if (is_agent(message.node)) {
-        m_targets->set_leaving(message.node);
+    } else if (message.node != from) {
+        m_targets->set_drained(message.node);
     }
 }
 
@@ -269,7 +277,7 @@
     if (!agent) {
         return std::nullopt;
     }
-    m_targets->set_leaving(*agent);
+    m_targets->set_drained(*agent);
     std::vector<node_id> entries;
     {
         const std::lock_guard lock(m_mutex);
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -72,8 +72,7 @@
         allowed = std::min(allowed, m_request.deadline);
     }
     m_deadline = m_request.received + allowed;
-    m_deadline_timer = m_traffic.timers.after(std::max(time_left(), milliseconds(0)),
-                                              [self = shared_from_this()] { self->on_deadline(); });
+    start_deadline_timer(std::max(time_left(), milliseconds(0)));
     if (!can_ever_run(memory_capacity(), memory_tokens())) {
         refuse(error_kind::deadline_unreachable, std::to_string(memory_tokens()) +
                                                      " tokens are more than the memory of an engine of " +
@@ -141,6 +140,7 @@
     next.from_copy = from_copy;
     next.started = want.now;
     next.timing.last = want.now;
+    next.transfer = {want.now, want.now, 0};
     choose_copy_holder(next, candidates, want);
     auto& usage = m_traffic.usage[record->id];
     ++usage.in_flight;
@@ -387,10 +387,18 @@
     release_target(cancelled);
 }
 
+void proxied_request::start_deadline_timer(milliseconds delay) {
+    m_deadline_timer = m_traffic.timers.after(delay, [self = shared_from_this()] { self->on_deadline(); });
+}
+
 void proxied_request::on_deadline() {
     if (m_is_done) {
         return;
     }
+    if (m_attempt && must_read_first(m_reads)) {
+        start_deadline_timer(milliseconds(0));
+        return;
+    }
     refuse(error_kind::deadline_exceeded, "no whole answer in time");
 }
 
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -26,6 +26,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr milliseconds k_idle_timeout{60};
+constexpr milliseconds k_header_timeout{100};
+constexpr milliseconds k_max_write_silence{150};
 constexpr const char* k_head_start = "GET /r/x HTTP/1.1\r\nHost: host\r\n";
 constexpr const char* k_head_end = "Request-Id: id\r\nAuthorization: Bearer key\r\n\r\n";
 
@@ -37,17 +39,19 @@
         auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
         auto table = std::make_shared<route_table>(*view->table);
         table->limits.idle_timeout = k_idle_timeout;
+        table->limits.header_timeout = k_header_timeout;
         index_routes(*table);
         view->table = table;
         apply_view(m_gateway.traffic, view);
         const auto address = free_address();
         const auto endpoint = parse_endpoint(address);
-        auto started = caller_server::start(m_io, {endpoint->ip, endpoint->port, 10},
+        auto started = caller_server::start(m_io, {endpoint->ip, endpoint->port, 10, k_max_write_silence},
                                             platform::make_request_codec(), m_gateway.traffic);
         REQUIRE(started);
         m_server = std::move(*started);
         m_server->accept();
-        m_caller.connect({asio::ip::make_address(endpoint->ip), endpoint->port});
+        m_endpoint = {asio::ip::make_address(endpoint->ip), endpoint->port};
+        m_caller.connect(m_endpoint);
         m_caller.non_blocking(true);
         run(milliseconds(10));
     }
@@ -74,12 +78,33 @@
         bytes.resize(size);
         return failure && failure != asio::error::would_block ? bytes + "closed" : bytes;
     }
+    /// Reads until nothing has arrived for 30 ms; returns the number of bytes.
+    std::size_t read_all() {
+        std::vector<char> bytes(1'048'576);
+        std::size_t total = 0;
+        for (int quiet = 0; quiet < 30;) {
+            run(milliseconds(1));
+            error_code failure;
+            const auto size = m_caller.read_some(asio::buffer(bytes), failure);
+            total += size;
+            quiet = size > 0 ? 0 : quiet + 1;
+        }
+        return total;
+    }
+    /// Replaces the caller's connection by a new one, which the server has not accepted yet.
+    void reconnect() {
+        m_caller = tcp::socket(m_io);
+        m_caller.connect(m_endpoint);
+        m_caller.non_blocking(true);
+    }
     fake_gateway& gateway() { return m_gateway; }
+    caller_server& server() { return *m_server; }
 
 private:
     asio::io_context m_io;
     fake_gateway m_gateway;
     std::unique_ptr<caller_server> m_server;
+    tcp::endpoint m_endpoint;
     tcp::socket m_caller{m_io};
 };
 
@@ -133,6 +158,136 @@
     CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
 }
 
+struct closing_case {
+    const char* name;
+    bool is_new_connection;
+    std::string sent;
+    std::string rest;
+    std::string received;
+};
+
+// Guards against requests that a stopping process resets although they have arrived: their callers cannot
+// know whether they ran.
+TEST_CASE("a stopping server answers the requests that have arrived") {
+    const std::string whole = std::string(k_head_start) + k_head_end;
+    const auto test = GENERATE_COPY(from_range(std::vector<closing_case>{
+        {"nothing on a kept connection", false, "", "", "closed"},
+        {"nothing on a new connection", true, "", "", "closed"},
+        {"a request on a kept connection", false, whole, "", "HTTP/1.1 503"},
+        {"a request on a connection that waits in the backlog", true, whole, "", "HTTP/1.1 503"},
+        {"a part of a head", false, k_head_start, k_head_end, "HTTP/1.1 503"},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    if (test.is_new_connection) {
+        fixture.reconnect();
+    }
+    fixture.gateway().traffic.options.grace = milliseconds(8'000);
+    fixture.gateway().traffic.shutdown_requested_at = fixture.gateway().now - milliseconds(7'000);
+    fixture.server().start_draining();
+    fixture.send(test.sent);
+    fixture.server().close_idle();
+    fixture.run(milliseconds(20));
+    fixture.send(test.rest);
+    fixture.run(milliseconds(20));
+    CHECK(fixture.received().substr(0, test.received.size()) == test.received);
+    CHECK(fixture.gateway().attempts.empty());
+}
+
+struct body_case {
+    const char* name;
+    std::size_t block_bytes;
+    int blocks;
+    /// Time without bytes after the blocks.
+    milliseconds pause;
+    std::size_t attempts;
+};
+
+// Guards against a caller that holds a connection for ever by single bytes of a body, and against a slow but
+// sound body that is refused.
+TEST_CASE("a body is read as long as it arrives steadily") {
+    constexpr std::size_t k_body_bytes = 20'000;
+    const auto test = GENERATE(from_range(std::vector<body_case>{
+        {"slow", 1'000, 20, milliseconds(0), 1},
+        {"a byte now and then", 1, 20, milliseconds(0), 0},
+        {"stalled", 1'000, 3, k_idle_timeout * 2, 0},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(std::string(k_head_start) + "Content-Length: " + std::to_string(k_body_bytes) + "\r\n" +
+                 k_head_end);
+    for (int i = 0; i < test.blocks; ++i) {
+        fixture.send(std::string(test.block_bytes, 'x'));
+        fixture.run(k_idle_timeout / 3);
+    }
+    fixture.run(test.pause);
+    CHECK(fixture.gateway().attempts.size() == test.attempts);
+    CHECK((fixture.received().find("HTTP/1.1 408") == 0) == (test.attempts == 0));
+}
+
+struct reading_case {
+    const char* name;
+    /// How long the caller reads nothing after the answer has begun.
+    milliseconds pause;
+    bool is_complete;
+};
+
+// Guards against an answer that is cut by the idle timeout while its caller still reads, and against a
+// connection that a caller which reads nothing keeps for ever.
+TEST_CASE("a caller gets its whole answer as long as it reads") {
+    constexpr std::size_t k_bytes = 16'000'000;
+    const auto test = GENERATE(from_range(std::vector<reading_case>{
+        {"at once", milliseconds(0), true},
+        {"after the idle timeout", k_idle_timeout * 3 / 2, true},
+        {"not at all", k_max_write_silence * 2, false},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(std::string(k_head_start) + k_head_end);
+    fixture.run(milliseconds(10));
+    const auto events = fixture.gateway().attempts.at(0)->events;
+    events.on_head(fake_gateway::head(200));
+    events.on_body(std::string(k_bytes, 'x'));
+    events.on_end();
+    fixture.run(test.pause);
+    CHECK(fixture.server().connections() == (test.is_complete ? 1 : 0));
+    CHECK((fixture.read_all() > k_bytes) == test.is_complete);
+    fixture.run(k_idle_timeout * 2);
+    CHECK(fixture.server().connections() == 0);
+}
+
+struct busy_case {
+    const char* name;
+    std::string sent;
+    /// Size of the answer that the target gives; 0 for none.
+    std::size_t answer_bytes;
+    std::size_t busy;
+};
+
+// Guards against a process that exits while a request is being read or an answer is being sent.
+TEST_CASE("a connection is busy until its answer has been sent") {
+    const std::string whole = std::string(k_head_start) + k_head_end;
+    const auto test = GENERATE_COPY(from_range(std::vector<busy_case>{
+        {"no request", "", 0, 0},
+        {"a part of a head", k_head_start, 0, 1},
+        {"a request in progress", whole, 0, 1},
+        {"an answer that the caller has not read", whole, 32'000'000, 1},
+        {"an answer that was sent", whole, 2, 0},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(test.sent);
+    fixture.run(milliseconds(10));
+    if (test.answer_bytes > 0) {
+        const auto events = fixture.gateway().attempts.at(0)->events;
+        events.on_head(fake_gateway::head(200));
+        events.on_body(std::string(test.answer_bytes, 'x'));
+        events.on_end();
+        fixture.run(milliseconds(10));
+    }
+    CHECK(fixture.server().busy_connections() == test.busy);
+}
+
 } // namespace
 
 } // namespace lovage
