Serve with the first page of the store, and read changes between the pages

Cause: found by reading. A process that starts publishes nothing before it has read every page of the store. At 300 machines the store holds 3,000 targets, seven pages; 300 processes that restart together read some hundred MB over its one link. A page that fails, as on a timeout of 1 s, made the process read all pages again, which keeps the link full; and nothing confirms the configuration while pages are read, so a read of more than 3 s ends readiness and one of more than 5 s the trust in the keys.

Change: core/store_follow plans the reads. A process serves with the first page that holds a target, spaces the pages after it by the time that the last one took, reads changes from the first page's revision between the pages, and repeats a failed page alone. Targets that neither a page nor a change has named are removed at the end of the full read.

--- a/include/lovage/control/gateway_control.h
+++ b/include/lovage/control/gateway_control.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lovage/control/gateway_state.h"
-#include "lovage/core/read_interval.h"
+#include "lovage/core/store_follow.h"
 #include "lovage/ports/store_port.h"
 
 #include <functional>
--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -3,30 +3,53 @@
 #include "lovage/control/gateway_documents.h"
 #include "lovage/control/gateway_moves.h"
 #include "lovage/control/gateway_view.h"
+#include "lovage/core/enum_names.h"
 #include "lovage/core/log_level.h"
 #include "lovage/core/time.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace lovage {
 
-/// What the watcher thread read from the store: a failure, the complete content, or the changes since the
-/// last read.
+/// What a read of the store has returned.
+enum class store_update_kind : std::uint8_t {
+    /// Changes since the last read.
+    changes,
+    /// The first page of a full read, with the documents of operators.
+    first_page,
+    /// A later page of it. Changes may have been read since the first one.
+    next_page,
+};
+inline constexpr std::size_t k_store_update_kind_count = 3;
+inline constexpr enum_names<k_store_update_kind_count> k_store_update_kind_names{"changes", "first_page",
+                                                                                 "next_page"};
+static_assert(static_cast<std::size_t>(store_update_kind::next_page) + 1 == k_store_update_kind_count);
+
+/// What the watcher thread read from the store: a failure, or items.
 struct store_update {
     std::optional<error> failure;
-    /// Whether `changes` holds the complete content.
-    bool is_full_read = false;
+    store_update_kind kind = store_update_kind::changes;
+    /// Whether this was the last page of a full read.
+    bool completes_read = false;
     std::vector<store_change> changes;
     std::uint64_t revision = 0;
-    /// The content includes every change made before this time.
+    /// What is known of the configuration includes every change made before this time.
     boot_time confirmed{0};
 };
 
+/// The keys that were seen since the first page of a full read.
+struct store_keys_seen {
+    std::set<std::string> targets;
+    /// Services with an order of the operators.
+    std::set<std::string> ordered_services;
+};
+
 /// A target and what is known of its registration in the store.
 struct known_target {
     target_record record;
@@ -59,8 +82,10 @@
     std::map<std::string, known_target> targets;
     gateway_moves moves;
     store_health health;
-    /// Whether a complete list of targets has been read since the start.
+    /// Whether targets have been read since the start, or a full read has found none.
     bool has_targets = false;
+    /// Set while a full read is in progress.
+    std::optional<store_keys_seen> keys_seen;
     /// Whether the targets differ from those of the last view.
     bool is_targets_changed = false;
     /// `table` is known to have been the newest configuration until this time.
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -21,9 +21,8 @@
 constexpr milliseconds k_max_watch_timeout{1'500};
 constexpr milliseconds k_min_watch_timeout{300};
 
-// Backoff after failed store calls. The first pause is short, since single answers may be lost.
-constexpr milliseconds k_min_backoff{100};
-constexpr milliseconds k_max_backoff{500};
+// Timeout of a watch while pages are left to be read: it returns the changes that there are.
+constexpr milliseconds k_no_watch_timeout{1};
 
 // Interval at which the writer thread offers a result again while the queue of events is full.
 constexpr milliseconds k_result_retry_interval{100};
@@ -54,13 +53,13 @@
     void apply_event(gateway_event input, time_point now);
     void write_moves();
     void watch_store();
-    store_update watch(std::uint64_t revision, boot_time confirmed) const;
-    store_update read_all() const;
+    store_update read_changes(store_position& position, boot_time confirmed) const;
+    store_update read_page(store_position& position, boot_time confirmed) const;
     // Waits for `time`; returns false at once if the process stops.
     bool pause(milliseconds time);
     void announce(std::uint64_t revision);
-    // Waits until the next read of changes is due; returns false at once if the process stops.
-    bool wait_for_next_read(std::uint64_t revision);
+    // Waits until a call is due; returns `wait` if the process stops.
+    store_step wait_for_step(const store_position& position);
 };
 
 bool gateway_control::state::pause(milliseconds time) {
@@ -76,52 +75,58 @@
     wakeup.notify_all();
 }
 
-bool gateway_control::state::wait_for_next_read(std::uint64_t revision) {
-    const auto last_read = monotonic_now();
+store_step gateway_control::state::wait_for_step(const store_position& position) {
     std::unique_lock lock(mutex);
     while (!is_stopping) {
-        const auto left = plan_read_pause(
-            {monotonic_now() - last_read, revision, announced_revision, live_peers}, ports.freshness);
-        if (left <= milliseconds(0)) {
+        const auto plan =
+            plan_store_step(position, {announced_revision, live_peers}, ports.freshness, monotonic_now());
+        if (plan.step == store_step::read_changes) {
             // The read that follows covers every change announced so far.
             announced_revision = 0;
-            return true;
         }
-        wakeup.wait_for(lock, left);
+        if (plan.step != store_step::wait) {
+            return plan.step;
+        }
+        wakeup.wait_for(lock, plan.wait);
     }
-    return false;
+    return store_step::wait;
 }
 
-store_update gateway_control::state::read_all() const {
+store_update gateway_control::state::read_page(store_position& position, boot_time confirmed) const {
     store_update update;
-    update.is_full_read = true;
-    update.confirmed = boot_now();
-    std::string after;
-    bool has_more = true;
-    while (has_more) {
-        auto page = ports.store.read_page(ports.documents.prefix, after);
-        if (!page) {
-            update.failure = page.error();
-            return update;
-        }
-        // A watch from the first page's revision delivers the changes made while later pages were read.
-        update.revision = update.revision == 0 ? page->revision : update.revision;
-        has_more = page->has_more && !page->items.empty();
-        for (auto& [key, value] : page->items) {
-            after = key;
-            update.changes.push_back({std::move(key), std::move(value)});
-        }
+    update.kind = position.revision == 0 ? store_update_kind::first_page : store_update_kind::next_page;
+    // Only the first page holds the configuration.
+    update.confirmed = position.revision == 0 ? boot_now() : confirmed;
+    const auto sent_at = monotonic_now();
+    auto page = ports.store.read_page(ports.documents.prefix, position.last_key);
+    if (!page) {
+        update.failure = page.error();
+        return update;
     }
+    page_read read;
+    read.revision = page->revision;
+    read.has_more_pages = page->has_more && !page->items.empty();
+    read.sent_at = sent_at;
+    for (auto& [key, value] : page->items) {
+        read.has_targets = read.has_targets || !ports.documents.target_id(key).empty();
+        read.last_key = key;
+        update.changes.push_back({std::move(key), std::move(value)});
+    }
+    update.completes_read = !read.has_more_pages;
+    record_page(position, std::move(read), monotonic_now());
+    update.revision = position.revision;
     return update;
 }
 
-store_update gateway_control::state::watch(std::uint64_t revision, boot_time confirmed) const {
+store_update gateway_control::state::read_changes(store_position& position, boot_time confirmed) const {
     store_update update;
     const auto sent_at = boot_now();
     const auto age = std::chrono::duration_cast<milliseconds>(sent_at - confirmed);
-    const auto wait = std::clamp(k_max_watch_timeout - age, k_min_watch_timeout, k_max_watch_timeout);
+    const auto wait = position.has_more_pages
+                          ? k_no_watch_timeout
+                          : std::clamp(k_max_watch_timeout - age, k_min_watch_timeout, k_max_watch_timeout);
     update.confirmed = sent_at;
-    auto changes = ports.store.watch_prefix(ports.documents.prefix, revision, wait);
+    auto changes = ports.store.watch_prefix(ports.documents.prefix, position.revision, wait);
     if (!changes) {
         update.failure = changes.error();
         return update;
@@ -130,38 +135,31 @@
         // The watch timed out in the store, so there were no changes until then.
         update.confirmed = sent_at + wait;
     }
+    record_changes(position, changes->revision, !changes->changes.empty(), monotonic_now());
     update.revision = changes->revision;
     update.changes = std::move(changes->changes);
     return update;
 }
 
 void gateway_control::state::watch_store() {
-    std::uint64_t revision = 0;
+    store_position position;
     boot_time confirmed{0};
-    milliseconds backoff = k_min_backoff;
-    bool is_running = true;
-    while (is_running) {
-        auto update = revision == 0 ? read_all() : watch(revision, confirmed);
-        milliseconds pause_time{0};
-        bool has_changes = false;
-        if (update.failure) {
-            const bool is_history_lost = update.failure->kind == error_kind::history_lost;
-            revision = is_history_lost ? 0 : revision;
-            pause_time = is_history_lost ? milliseconds(0) : backoff;
-            backoff = std::min(backoff * 2, k_max_backoff);
-        } else {
-            revision = update.revision;
+    auto step = wait_for_step(position);
+    while (step != store_step::wait) {
+        auto update = step == store_step::read_page ? read_page(position, confirmed)
+                                                    : read_changes(position, confirmed);
+        if (!update.failure) {
             confirmed = update.confirmed;
-            backoff = k_min_backoff;
-            has_changes = !update.changes.empty() && !update.is_full_read;
+        } else if (update.failure->kind == error_kind::history_lost) {
+            restart_full_read(position, false, monotonic_now());
+        } else {
+            record_failure(position, monotonic_now());
         }
         if (!events.push(std::move(update))) {
             // A lost update would leave the state incomplete, so everything is read again.
-            revision = 0;
-            has_changes = false;
-            pause_time = backoff;
+            restart_full_read(position, true, monotonic_now());
         }
-        is_running = has_changes ? wait_for_next_read(revision) : pause(pause_time);
+        step = wait_for_step(position);
     }
 }
 
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -151,19 +151,25 @@
     record_change(state, change.value->revision);
 }
 
-void mark_absent_targets(gateway_state& state, const store_update& update, time_point now) {
-    std::set<std::string> present;
-    std::set<std::string> ordered;
-    for (const auto& change : update.changes) {
-        present.insert(state.documents.target_id(change.key));
-        ordered.insert(state.documents.rollout_service(change.key));
+// A key that is removed while a full read is in progress counts as seen: its removal has been applied.
+void record_key(gateway_state& state, const std::string& target_id, const store_change& change) {
+    if (!state.keys_seen) {
+        return;
     }
+    if (!target_id.empty()) {
+        state.keys_seen->targets.insert(target_id);
+    } else if (const auto service = state.documents.rollout_service(change.key); !service.empty()) {
+        state.keys_seen->ordered_services.insert(service);
+    }
+}
+
+void remove_absent(gateway_state& state, const store_keys_seen& seen, time_point now) {
     for (auto move = state.moves.open.begin(); move != state.moves.open.end();) {
-        move = ordered.count(move->first) == 0 ? state.moves.open.erase(move) : std::next(move);
+        move = seen.ordered_services.count(move->first) == 0 ? state.moves.open.erase(move) : std::next(move);
     }
     std::vector<std::string> missing;
     for (const auto& [id, target] : state.targets) {
-        if (present.count(id) == 0) {
+        if (seen.targets.count(id) == 0) {
             missing.push_back(id);
         }
     }
@@ -216,8 +222,12 @@
         return;
     }
     record_store_success(state, update.revision, now);
+    if (update.kind == store_update_kind::first_page) {
+        state.keys_seen.emplace();
+    }
     for (const auto& change : update.changes) {
         const auto id = state.documents.target_id(change.key);
+        record_key(state, id, change);
         if (id.empty()) {
             apply_operator_change(state, change, now);
         } else if (change.value) {
@@ -226,10 +236,13 @@
             mark_target_missing(state, id, now);
         }
     }
-    if (update.is_full_read) {
-        const bool had_targets = std::exchange(state.has_targets, true);
-        state.is_targets_changed = state.is_targets_changed || !had_targets;
-        mark_absent_targets(state, update, now);
+    if (update.completes_read && state.keys_seen) {
+        remove_absent(state, *state.keys_seen, now);
+        state.keys_seen.reset();
+    }
+    const bool has_any = update.completes_read || !state.targets.empty();
+    if (has_any && !std::exchange(state.has_targets, true)) {
+        state.is_targets_changed = true;
     }
     state.table_confirmed = std::max(state.table_confirmed, update.confirmed);
 }
--- /dev/null
+++ b/src/core/store_follow.cpp
@@ -0,0 +1,86 @@
+#include "lovage/core/store_follow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovage {
+
+namespace {
+
+// The backoff after failed calls starts with `store_position::backoff`, which is short, since single answers
+// may be lost.
+constexpr milliseconds k_max_backoff{500};
+
+// Longest pause between two pages.
+constexpr milliseconds k_max_page_pause{1'000};
+
+milliseconds time_until(time_point then, time_point now) {
+    return std::max(std::chrono::ceil<milliseconds>(then - now), milliseconds(0));
+}
+
+} // namespace
+
+store_plan plan_store_step(const store_position& position, const store_hints& hints,
+                           const freshness_limits& limits, time_point now) {
+    if (now < position.retry_at) {
+        return {store_step::wait, time_until(position.retry_at, now)};
+    }
+    if (position.revision == 0) {
+        return {store_step::read_page};
+    }
+    milliseconds until_changes{0};
+    if (position.is_read_spaced) {
+        until_changes = plan_read_pause(
+            {now - position.last_read_at, position.revision, hints.announced_revision, hints.live_peers},
+            limits);
+    }
+    if (until_changes <= milliseconds(0)) {
+        return {store_step::read_changes};
+    }
+    if (!position.has_more_pages) {
+        return {store_step::wait, until_changes};
+    }
+    const auto until_page = time_until(position.next_page_at, now);
+    if (until_page <= milliseconds(0)) {
+        return {store_step::read_page};
+    }
+    return {store_step::wait, std::min(until_changes, until_page)};
+}
+
+void record_page(store_position& position, page_read page, time_point now) {
+    if (position.revision == 0) {
+        // Reading changes from the first page's revision delivers those made while later pages are read.
+        position.revision = page.revision;
+        position.last_read_at = now;
+    }
+    position.last_key = std::move(page.last_key);
+    position.has_more_pages = page.has_more_pages;
+    position.has_targets = position.has_targets || page.has_targets;
+    position.is_read_spaced = page.has_more_pages;
+    const auto took = std::min<time_point::duration>(now - page.sent_at, k_max_page_pause);
+    position.next_page_at = position.has_targets ? now + took : now;
+    position.backoff = store_position().backoff;
+}
+
+void record_changes(store_position& position, std::uint64_t revision, bool has_changes, time_point now) {
+    position.revision = revision;
+    position.last_read_at = now;
+    position.is_read_spaced = has_changes || position.has_more_pages;
+    position.backoff = store_position().backoff;
+}
+
+void record_failure(store_position& position, time_point now) {
+    position.retry_at = now + position.backoff;
+    position.backoff = std::min(position.backoff * 2, k_max_backoff);
+}
+
+void restart_full_read(store_position& position, bool is_delayed, time_point now) {
+    const auto backoff = position.backoff;
+    position = {};
+    if (is_delayed) {
+        position.backoff = backoff;
+        record_failure(position, now);
+    }
+}
+
+} // namespace lovage
--- a/tests/unit/gateway_control_test.cpp
+++ b/tests/unit/gateway_control_test.cpp
@@ -134,6 +134,131 @@
     CHECK(wait_until([&] { return writes >= 2; }));
 }
 
+// A store with a configuration and one target on each page.
+struct paged_store {
+    int pages = 2;
+    /// Pages after the first one pass this gate.
+    gate later_pages;
+    /// How many reads of the last page fail.
+    std::atomic<int> failures{0};
+    std::atomic<int> first_page_reads{0};
+    std::atomic<int> watches{0};
+    /// How long each page takes.
+    milliseconds page_time{0};
+    /// The version of the configuration that the changes hold; 0 for no changes.
+    std::atomic<int> changed_version{0};
+
+    static std::pair<std::string, store_value> config(int version, std::uint64_t revision) {
+        const auto text = R"({"Version":)" + std::to_string(version) + R"(,"Routes":[],"Services":[]})";
+        return {"op/config", store_value{text, revision}};
+    }
+    result<store_page> read_page(const std::string& after);
+    store_port port();
+};
+
+result<store_page> paged_store::read_page(const std::string& after) {
+    const int number = after.empty() ? 1 : std::stoi(after.substr(after.size() - 1)) + 1;
+    if (number == 1) {
+        ++first_page_reads;
+    } else {
+        later_pages.pass();
+    }
+    std::this_thread::sleep_for(page_time);
+    if (number == pages && failures-- > 0) {
+        return fail(error_kind::store_unavailable, "scripted");
+    }
+    store_page page;
+    page.revision = 5;
+    page.has_more = number < pages;
+    if (number == 1) {
+        page.items.push_back(config(1, 1));
+    }
+    const auto digit = std::to_string(number);
+    page.items.emplace_back("servers/t" + digit,
+                            store_value{R"({"Service":"s","Address":"10.0.0.)" + digit +
+                                            R"(:80","Zone":"a","Slots":4,"State":"ready"})",
+                                        2});
+    return page;
+}
+
+store_port paged_store::port() {
+    store_port store;
+    store.read_page = [this](const std::string&, const std::string& after) { return read_page(after); };
+    store.watch_prefix = [this](const std::string&, std::uint64_t after,
+                                milliseconds wait) -> result<store_changes> {
+        ++watches;
+        store_changes changes;
+        changes.revision = after;
+        if (const int version = changed_version; version > 0) {
+            auto [key, value] = config(version, after);
+            changes.changes.push_back({std::move(key), std::move(value)});
+        } else {
+            std::this_thread::sleep_for(std::min(wait, milliseconds(20)));
+        }
+        return changes;
+    };
+    store.stop = [] {};
+    return store;
+}
+
+/// What the views that were published hold; written on the control thread.
+struct published {
+    std::atomic<std::uint64_t> version{0};
+    std::atomic<std::size_t> targets{0};
+
+    gateway_control_ports ports(paged_store& store) {
+        gateway_control_ports ports;
+        ports.store = store.port();
+        ports.writes = store.port();
+        ports.documents = platform::make_documents();
+        ports.freshness = {milliseconds(1'000), milliseconds(1'000), milliseconds(1'000)};
+        ports.log = [](const gateway_log&) {};
+        ports.publish = [this](const gateway_view_ptr& view) {
+            version = view->table ? view->table->version : 0;
+            const bool has_targets = view->targets && view->targets->count("s") > 0;
+            targets = has_targets ? view->targets->at("s").size() : 0;
+        };
+        return ports;
+    }
+};
+
+// Guards against a process that serves nothing until it has read thousands of targets, which takes seconds
+// while hundreds of processes restart.
+TEST_CASE("a process serves with the first page while later pages are read") {
+    paged_store store;
+    store.later_pages.set_open(false);
+    published seen;
+    const auto control = gateway_control::start(seen.ports(store));
+    CHECK(wait_until([&] { return seen.version == 1 && seen.targets == 1; }));
+    store.later_pages.set_open(true);
+    CHECK(wait_until([&] { return seen.targets == 2; }));
+}
+
+// Guards against processes that read everything again after each failure, which keeps a busy store busy.
+TEST_CASE("a failed page is read again without the pages before it") {
+    paged_store store;
+    store.pages = 3;
+    store.failures = 2;
+    published seen;
+    const auto control = gateway_control::start(seen.ports(store));
+    CHECK(wait_until([&] { return seen.targets == 3; }));
+    CHECK(store.first_page_reads == 1);
+}
+
+// Guards against a configuration, or an API key that was withdrawn, that stays in force for as long as the
+// pages of the store take.
+TEST_CASE("changes are in force while pages are read") {
+    paged_store store;
+    store.pages = 9;
+    store.page_time = milliseconds(100);
+    store.changed_version = 2;
+    published seen;
+    const auto control = gateway_control::start(seen.ports(store));
+    CHECK(wait_until([&] { return seen.version == 2; }));
+    CHECK(seen.targets < 9);
+    CHECK(wait_until([&] { return seen.targets == 9; }));
+}
+
 } // namespace
 
 } // namespace lovage
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -36,7 +36,8 @@
 
 store_update full_read(std::vector<store_change> changes) {
     store_update update;
-    update.is_full_read = true;
+    update.kind = store_update_kind::first_page;
+    update.completes_read = true;
     update.changes = std::move(changes);
     update.revision = 10;
     return update;
@@ -44,7 +45,15 @@
 
 store_update changes_only(std::vector<store_change> changes) {
     auto update = full_read(std::move(changes));
-    update.is_full_read = false;
+    update.kind = store_update_kind::changes;
+    update.completes_read = false;
+    return update;
+}
+
+store_update page(store_update_kind kind, std::vector<store_change> changes, bool completes_read = false) {
+    auto update = full_read(std::move(changes));
+    update.kind = kind;
+    update.completes_read = completes_read;
     return update;
 }
 
@@ -87,6 +96,40 @@
     CHECK(usable_target_ids(state) == std::vector<std::string>{"t1"});
 }
 
+// Guards against a full read in pages that removes a target which registered between two of them, keeps one
+// that has gone, or brings back one that was removed meanwhile.
+TEST_CASE("a full read in pages ends with the targets of the store") {
+    auto state = make_state();
+    apply_store_update(
+        state,
+        full_read({config(3, 1), target("early", "10.0.0.1:1", "ready", 2),
+                   target("gone", "10.0.0.2:1", "ready", 3), target("late", "10.0.0.3:1", "ready", 4),
+                   target("removed", "10.0.0.4:1", "ready", 5)}),
+        at_ms(0));
+    apply_store_update(
+        state, page(store_update_kind::first_page, {config(3, 1), target("early", "10.0.0.1:1", "ready", 2)}),
+        at_ms(1));
+    CHECK(usable_target_ids(state) == std::vector<std::string>{"early", "gone", "late", "removed"});
+    apply_store_update(
+        state, changes_only({target("new", "10.0.0.5:1", "ready", 20), {"servers/removed", std::nullopt}}),
+        at_ms(2));
+    apply_store_update(state,
+                       page(store_update_kind::next_page, {target("late", "10.0.0.3:1", "ready", 4)}, true),
+                       at_ms(3));
+    CHECK(usable_target_ids(state) == std::vector<std::string>{"early", "late", "new"});
+}
+
+// Guards against a process that accepts callers before it knows a target.
+TEST_CASE("targets are published with the first page that has one") {
+    auto state = make_state();
+    apply_store_update(state, page(store_update_kind::first_page, {config(3, 1)}), at_ms(0));
+    CHECK(view_of(state)->table);
+    CHECK_FALSE(view_of(state)->targets);
+    apply_store_update(state, page(store_update_kind::next_page, {target("t1", "10.0.0.1:1", "ready", 2)}),
+                       at_ms(1));
+    CHECK(usable_target_ids(state) == std::vector<std::string>{"t1"});
+}
+
 // Guards against a process that reverts to an older configuration.
 TEST_CASE("an older configuration is never adopted") {
     auto state = make_state();
