Read the store less often while its calls succeed

Cause: the interval between reads was a fixed part of each limit, made for the narrow limits of 2 s, where it leaves just the time of a read that fails.

Change: the interval leaves 1.25 s of the limits on changes, for a read that times out and its repetition, and half of the trust in the keys, so that two failures leave them trusted. For 10 s after a failure the former parts hold.

Tests: "a process of a large fleet makes at most one call in two seconds where the limits allow it" (1,250 ms before), "a change is read in time although reads fail".

--- a/include/lovage/core/store_follow.h
+++ b/include/lovage/core/store_follow.h
@@ -31,6 +31,8 @@
     time_point retry_at{};
     /// Pause after the next failure.
     milliseconds backoff{100};
+    /// Until this time, failed calls are expected to be followed by others.
+    time_point unreliable_until{};
 };
 
 /// What a process that follows the store does next.
--- a/src/core/store_follow.cpp
+++ b/src/core/store_follow.cpp
@@ -11,6 +11,9 @@
 // may be lost.
 constexpr milliseconds k_max_backoff{500};
 
+// After a failed call, reads are closer to each other for this long.
+constexpr milliseconds k_unreliable_period{10'000};
+
 // Longest pause between two pages.
 constexpr milliseconds k_max_page_pause{1'000};
 
@@ -30,9 +33,10 @@
     }
     milliseconds until_changes{0};
     if (position.is_read_spaced) {
-        until_changes = plan_read_pause(
-            {now - position.last_read_at, position.revision, hints.announced_revision, hints.live_peers},
-            limits);
+        until_changes =
+            plan_read_pause({now - position.last_read_at, position.revision, hints.announced_revision,
+                             hints.live_peers, now >= position.unreliable_until},
+                            limits);
     }
     if (until_changes <= milliseconds(0)) {
         return {store_step::read_changes};
@@ -71,6 +75,7 @@
 
 void record_failure(store_position& position, time_point now) {
     position.retry_at = now + position.backoff;
+    position.unreliable_until = now + k_unreliable_period;
     position.backoff = std::min(position.backoff * 2, k_max_backoff);
 }
 
