Spread the calls that the store's rate limit refuses

Cause: a trial on a scratch copy of the large site with nine times the machines (297 gateways, 909 targets, all processes killed at 3 s, log of 30 of them; figures are a trial's): within 150 ms of the restart 21 of the 30 processes had been refused with 429 (the store's rate limit). They repeated their calls after the same pauses, 0.1 to 0.5 s: at 7.8 s 14 of 30 had read the configuration, and one was refused until the end. A process that has just started knows no peers, so it read every 300 ms.

Such a call is repeated at a random time of a period that doubles up to 2 s, and for 10 s reads are as rare as the limits allow, unless a peer announces a change; failures of other kinds keep their short pauses.

--- a/include/lovage/control/gateway_control.h
+++ b/include/lovage/control/gateway_control.h
@@ -18,6 +18,8 @@
     gateway_documents documents;
     /// Limits that decide how often the store is read.
     freshness_limits freshness;
+    /// Differs between processes, so that they do not repeat refused calls at the same time.
+    std::uint64_t random_seed = 0;
     /// Limits of the requests that a new version may get before its evaluation has passed.
     move_limits moves;
     /// Hands a new view to the traffic thread; called on the control thread.
--- a/include/lovage/core/store_follow.h
+++ b/include/lovage/core/store_follow.h
@@ -33,6 +33,10 @@
     milliseconds backoff{100};
     /// Until this time, failed calls are expected to be followed by others.
     time_point unreliable_until{};
+    /// Time over which the next call that exceeds the store's rate limit is repeated.
+    milliseconds retry_spread{250};
+    /// Until this time, the rate limit is taken to be short for the whole fleet.
+    time_point rate_limited_until{};
 };
 
 /// What a process that follows the store does next.
@@ -82,6 +86,14 @@
 /// Records a failed call, which is repeated after a pause: the pages read so far stay read.
 void record_failure(store_position& position, time_point now);
 
+/// Records a call that exceeded the store's rate limit.
+///
+/// Load pattern: hundreds of processes call at the same moment and most are refused. Each repeats its call at
+/// a random time of a period that doubles, given by `random_fraction` in [0, 1), so they do not meet again.
+/// Reads are then as rare as the limits allow unless a peer announces a change, since a process that has just
+/// started knows no peers.
+void record_rate_limit(store_position& position, double random_fraction, time_point now);
+
 /// Starts the full read again, after a pause if `is_delayed`.
 void restart_full_read(store_position& position, bool is_delayed, time_point now);
 
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
+#include <random>
 #include <thread>
 #include <variant>
 
@@ -144,6 +145,8 @@
 void gateway_control::state::watch_store() {
     store_position position;
     boot_time confirmed{0};
+    std::mt19937_64 random(ports.random_seed);
+    std::uniform_real_distribution<double> fraction(0.0, 1.0);
     auto step = wait_for_step(position);
     while (step != store_step::wait) {
         auto update = step == store_step::read_page ? read_page(position, confirmed)
@@ -152,6 +155,8 @@
             confirmed = update.confirmed;
         } else if (update.failure->kind == error_kind::history_lost) {
             restart_full_read(position, false, monotonic_now());
+        } else if (update.failure->kind == error_kind::overloaded) {
+            record_rate_limit(position, fraction(random), monotonic_now());
         } else {
             record_failure(position, monotonic_now());
         }
--- a/src/core/store_follow.cpp
+++ b/src/core/store_follow.cpp
@@ -14,6 +14,15 @@
 // After a failed call, reads are closer to each other for this long.
 constexpr milliseconds k_unreliable_period{10'000};
 
+// Calls are rare for this long after one that exceeded the rate limit.
+constexpr milliseconds k_rate_limited_period{10'000};
+// A period of 2 s spreads the calls of 340 processes to 170 a second.
+constexpr milliseconds k_max_retry_spread{2'000};
+// Peers of a process of a large fleet; the interval between reads is then the longest.
+constexpr std::size_t k_many_peers = 300;
+// Pause between two pages while the rate limit is short.
+constexpr milliseconds k_rate_limited_page_pause{1'000};
+
 // Longest pause between two pages.
 constexpr milliseconds k_max_page_pause{1'000};
 
@@ -31,11 +40,13 @@
     if (position.revision == 0) {
         return {store_step::read_page};
     }
+    const bool is_rate_limited = now < position.rate_limited_until;
+    const auto live_peers = is_rate_limited ? k_many_peers : hints.live_peers;
     milliseconds until_changes{0};
     if (position.is_read_spaced) {
         until_changes =
             plan_read_pause({now - position.last_read_at, position.revision, hints.announced_revision,
-                             hints.live_peers, now >= position.unreliable_until},
+                             live_peers, now >= position.unreliable_until},
                             limits);
     }
     if (until_changes <= milliseconds(0)) {
@@ -62,8 +73,11 @@
     position.has_targets = position.has_targets || page.has_targets;
     position.is_read_spaced = page.has_more_pages;
     const auto took = std::min<time_point::duration>(now - page.sent_at, k_max_page_pause);
-    position.next_page_at = position.has_targets ? now + took : now;
+    const bool is_rate_limited = now < position.rate_limited_until;
+    const time_point::duration pause = is_rate_limited ? k_rate_limited_page_pause : took;
+    position.next_page_at = position.has_targets ? now + pause : now;
     position.backoff = store_position().backoff;
+    position.retry_spread = store_position().retry_spread;
 }
 
 void record_changes(store_position& position, std::uint64_t revision, bool has_changes, time_point now) {
@@ -71,6 +85,7 @@
     position.last_read_at = now;
     position.is_read_spaced = has_changes || position.has_more_pages;
     position.backoff = store_position().backoff;
+    position.retry_spread = store_position().retry_spread;
 }
 
 void record_failure(store_position& position, time_point now) {
@@ -79,6 +94,13 @@
     position.backoff = std::min(position.backoff * 2, k_max_backoff);
 }
 
+void record_rate_limit(store_position& position, double random_fraction, time_point now) {
+    const auto spread = static_cast<double>(position.retry_spread.count());
+    position.retry_at = now + position.backoff + milliseconds(static_cast<int>(random_fraction * spread));
+    position.rate_limited_until = now + k_rate_limited_period;
+    position.retry_spread = std::min(position.retry_spread * 2, k_max_retry_spread);
+}
+
 void restart_full_read(store_position& position, bool is_delayed, time_point now) {
     const auto backoff = position.backoff;
     position = {};
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -116,6 +116,7 @@
     ports.documents = platform::make_documents();
     ports.moves = m_settings.moves;
     ports.freshness = m_settings.freshness;
+    ports.random_seed = std::random_device{}();
     ports.store = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
     ports.writes = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
     ports.publish = [this](gateway_view_ptr view) {
--- a/tests/unit/store_follow_test.cpp
+++ b/tests/unit/store_follow_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,11 @@
     return position;
 }
 
+store_position after_rate_limit(store_position position, std::int64_t at) {
+    record_rate_limit(position, 0.5, at_ms(at));
+    return position;
+}
+
 store_position after_changes(store_position position, bool has_changes, std::int64_t at) {
     record_changes(position, 9, has_changes, at_ms(at));
     return position;
@@ -45,6 +51,7 @@
 // failure.
 TEST_CASE("pages and reads of changes follow each other") {
     const auto paged = after_first_page(true, true);
+    const auto limited = after_rate_limit(after_first_page(false, true), 50);
     const auto test = GENERATE_COPY(from_range(std::vector<plan_case>{
         {"start", {}, {}, 0, store_step::read_page, milliseconds(0)},
         {"first page failed", after_failure({}, 50), {}, 60, store_step::wait, milliseconds(90)},
@@ -78,6 +85,31 @@
          1'600,
          store_step::read_page,
          milliseconds(0)},
+        {"rate limit", after_rate_limit({}, 50), {}, 100, store_step::wait, milliseconds(175)},
+        {"rate limit, again",
+         after_rate_limit(after_rate_limit({}, 50), 1'000),
+         {},
+         1'000,
+         store_step::wait,
+         milliseconds(350)},
+        {"rate limit, page later",
+         after_rate_limit(paged, 1'200),
+         {},
+         1'425,
+         store_step::read_page,
+         milliseconds(0)},
+        {"rate limit, peers are not known yet",
+         after_changes(limited, true, 1'000),
+         {},
+         1'400,
+         store_step::wait,
+         milliseconds(2'100)},
+        {"rate limit, announced",
+         after_changes(limited, true, 1'000),
+         {99, 300},
+         1'400,
+         store_step::read_changes,
+         milliseconds(0)},
         {"changes without a pause",
          after_changes(after_first_page(false, true), false, 2'000),
          {0, 300},
@@ -203,6 +235,52 @@
     }
 }
 
+// A store that refuses calls beyond its rate; refused ones count, too.
+struct limited_store {
+    double calls_per_ms = 0.3;
+    double burst = 100.0;
+    double left = 100.0;
+
+    bool accepts() {
+        const bool is_accepted = left >= 1.0;
+        left = std::max(left - 1.0, 0.0);
+        return is_accepted;
+    }
+};
+
+// Guards against processes that are refused together, repeat their calls together, and so keep the store at
+// its rate limit for as long as they run.
+TEST_CASE("processes that restart together come back below the store's rate limit") {
+    constexpr std::size_t k_processes = 300;
+    std::vector<store_position> positions(k_processes);
+    limited_store store;
+    std::mt19937_64 random(1);
+    std::uniform_real_distribution<double> fraction(0.0, 1.0);
+    std::size_t serving = 0;
+    int refused_late = 0;
+    for (time_point now{}; now < at_ms(10'000); now += milliseconds(1)) {
+        store.left = std::min(store.left + store.calls_per_ms, store.burst);
+        for (auto& position : positions) {
+            const auto step =
+                plan_store_step(position, {0, now < at_ms(3'000) ? 0 : k_processes - 1}, k_limits, now).step;
+            if (step == store_step::wait) {
+                continue;
+            }
+            if (!store.accepts()) {
+                record_rate_limit(position, fraction(random), now);
+                refused_late += now > at_ms(5'000) ? 1 : 0;
+            } else if (step == store_step::read_page) {
+                serving += position.revision == 0 ? 1 : 0;
+                record_page(position, {1, "key", false, true, now}, now);
+            } else {
+                record_changes(position, 2, true, now);
+            }
+        }
+    }
+    CHECK(serving == k_processes);
+    CHECK(refused_late == 0);
+}
+
 } // namespace
 
 } // namespace lovage
