Ask one decision before anything is sent to a target

Cause: only first sends, retries and resumes asked whether a target leaves or pauses. Probes, copies and releases of copies were sent to targets that had asked for a pause; a holder that paused lost the copies of all its streams; what a target said in the answer to such a call was not heard; idle connections to a target that leaves stayed open; a target that started anew under its id inherited the pause of its predecessor; the end of a pause was sought among the targets of both versions of a service in a move. Change: availability_of in core/target_notice joins entry and notice and says whether work of a kind is accepted now, and if not, until when. Every path asks it; accepts_requests and the checks of the phase beside it are gone. A notice belongs to one start. Calls to engines take the target's record in place of its address.

--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -92,20 +92,30 @@
 std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service,
                                             version_side side);
 
-/// Returns the record of a ready target that accepts requests; null if there is none.
+/// Returns the record of a target that accepts new work; null if there is none.
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
                                        const std::string& id);
 
-/// Records what the target that started at `started_ms` asks of this process in an answer.
+/// Whether a target may keep a standby copy that it has. A pause does not end the copy: the engine that made
+/// it keeps it up to date.
+bool may_keep_copy(const gateway_traffic& traffic, const std::string& service, const std::string& id);
+
+/// Records what the target that started at `started_ms` asks of this process in an answer. Ignores an answer
+/// from before the target's present start.
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
                     const answer_head& head);
 
-/// Whether a target may get new work of this process.
-bool accepts_requests(const gateway_traffic& traffic, const target_record& target);
+/// Whether work may be sent to a target now. Every path that sends to targets asks it.
+target_availability availability_of(const gateway_traffic& traffic, const target_record& target,
+                                    work_kind work);
+
+/// Closes the idle connections to a target that is leaving.
+void close_connections_if_leaving(gateway_traffic& traffic, const target_record& target);
 
-/// Returns when the first ready target of a service accepts requests again, if all of them have asked this
-/// process to pause.
-std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service);
+/// Returns when the first target that may serve this side of a service accepts requests again, if none does
+/// now and at least one has asked this process to pause.
+std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service,
+                                       version_side side);
 
 /// Records a failure of a target and of its zone, and reports it to the peers. A replaced target does not
 /// count against its zone.
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -71,12 +71,7 @@
         std::uint32_t number = 0;
         /// Number of events received.
         std::uint32_t event_count = 0;
-        std::string target_id;
-        std::string zone;
-        std::string address;
-        std::string version;
-        /// The target's `started_ms`.
-        std::uint64_t target_started_ms = 0;
+        target_record target;
         standby_copy copy;
         bool from_copy = false;
         time_point started{};
--- a/include/lovage/traffic/target_call.h
+++ b/include/lovage/traffic/target_call.h
@@ -17,9 +17,10 @@
     std::string body;
 };
 
-/// Sends a management call to a target. Calls `done` once, on the traffic thread; with `nullopt` if no
-/// complete response arrived within `limit`.
-void send_target_request(gateway_traffic& traffic, const std::string& address,
+/// Sends a management call to a target and records what the answer says about leaving or a pause. Calls
+/// `done` once, on the traffic thread; with `nullopt` if no complete response arrived within `limit`, or,
+/// before it returns, if the target does not accept `work`.
+void send_target_request(gateway_traffic& traffic, const target_record& target, work_kind work,
                          std::shared_ptr<const forwarded_request> request, milliseconds limit,
                          std::function<void(std::optional<target_reply>)> done);
 
--- a/src/core/target_notice.cpp
+++ b/src/core/target_notice.cpp
@@ -16,36 +16,59 @@
 constexpr milliseconds k_min_retry_after{200};
 constexpr milliseconds k_max_retry_after{5'000};
 
+// Prepares the notice for a statement of the target that started at `started_ms`.
+void begin_statement(target_notice& notice, std::uint64_t started_ms, time_point now) {
+    if (has_started_anew(notice.started_ms, started_ms)) {
+        notice = {};
+    }
+    notice.started_ms = started_ms != 0 ? started_ms : notice.started_ms;
+    notice.recorded = now;
+}
+
 } // namespace
 
+bool has_started_anew(std::uint64_t noticed_ms, std::uint64_t started_ms) {
+    return noticed_ms != 0 && started_ms != 0 && noticed_ms != started_ms;
+}
+
 void record_leaving(target_notice& notice, std::uint64_t started_ms, time_point now) {
+    begin_statement(notice, started_ms, now);
     notice.is_leaving = true;
-    notice.started_ms = started_ms;
-    notice.recorded = now;
 }
 
-void record_pause(target_notice& notice, milliseconds pause, time_point now) {
+void record_pause(target_notice& notice, std::uint64_t started_ms, milliseconds pause, time_point now) {
+    begin_statement(notice, started_ms, now);
     notice.paused_until = std::max<time_point>(notice.paused_until, now + std::min(pause, k_max_pause));
-    notice.recorded = now;
-}
-
-bool is_leaving(const target_notice& notice, const target_record& target) {
-    const bool has_started_anew =
-        notice.started_ms != 0 && target.started_ms != 0 && notice.started_ms != target.started_ms;
-    return notice.is_leaving && !has_started_anew;
 }
 
-bool accepts_requests(const target_notice& notice, const target_record& target, time_point now) {
-    return !is_leaving(notice, target) && now >= notice.paused_until;
+target_availability availability_of(const target_notice& notice, const target_record& target, work_kind work,
+                                    time_point now) {
+    const bool is_current = !has_started_anew(notice.started_ms, target.started_ms);
+    const bool is_leaving = target.phase == target_phase::draining || (is_current && notice.is_leaving);
+    if (work == work_kind::new_work && is_leaving) {
+        return {acceptance::leaving, {}};
+    }
+    if (is_current && now < notice.paused_until) {
+        return {acceptance::paused, notice.paused_until};
+    }
+    return {};
 }
 
 bool is_obsolete(const target_notice& notice, time_point now) {
     return now >= notice.paused_until && now - notice.recorded > k_notice_lifetime;
 }
 
-std::optional<time_point> earliest_end(const std::vector<time_point>& pauses, time_point now) {
-    const auto earliest = std::min_element(pauses.begin(), pauses.end());
-    return earliest != pauses.end() && *earliest > now ? std::optional<time_point>(*earliest) : std::nullopt;
+std::optional<time_point> earliest_end(const std::vector<target_availability>& targets) {
+    std::optional<time_point> end;
+    for (const auto& target : targets) {
+        if (target.state == acceptance::accepting) {
+            return std::nullopt;
+        }
+        if (target.state == acceptance::paused && (!end || target.until < *end)) {
+            end = target.until;
+        }
+    }
+    return end;
 }
 
 milliseconds return_after_pause(time_point end, time_point now) {
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -14,21 +14,56 @@
 constexpr std::size_t k_failing_zone_targets = 3;
 constexpr milliseconds k_zone_failure_window{1'500};
 
-std::vector<target_candidate> candidates_on_side(gateway_traffic& traffic, const std::string& service,
-                                                 version_side side) {
-    std::vector<target_candidate> candidates;
+const target_list& targets_of(const gateway_traffic& traffic, const std::string& service) {
+    static const target_list k_none;
     if (!traffic.view->targets) {
-        return candidates;
+        return k_none;
     }
     const auto found = traffic.view->targets->find(service);
-    if (found == traffic.view->targets->end()) {
-        return candidates;
+    return found != traffic.view->targets->end() ? found->second : k_none;
+}
+
+const target_record* find_in(const target_list& list, const std::string& id) {
+    const auto target = std::find_if(list.begin(), list.end(),
+                                     [&id](const target_record& record) { return record.id == id; });
+    return target != list.end() ? &*target : nullptr;
+}
+
+// Looks through all services, so it is meant for rare events.
+const target_record* find_target(const gateway_traffic& traffic, const std::string& id) {
+    const target_record* target = nullptr;
+    if (traffic.view->targets) {
+        for (const auto& [service, list] : *traffic.view->targets) {
+            target = target != nullptr ? target : find_in(list, id);
+        }
+    }
+    return target;
+}
+
+bool is_on_side(const version_split* split, version_side side, const target_record& target) {
+    return split == nullptr || is_eligible_for_side(*split, side, target.id, target.version);
+}
+
+// Returns the side that serves the requests of `side` if the targets of that one accept none.
+std::optional<version_side> substitute_side(const version_split* split, version_side side) {
+    if (split == nullptr) {
+        return std::nullopt;
     }
+    const auto other = side == version_side::usual ? version_side::moved : version_side::usual;
+    const bool may_substitute = other == version_side::usual || split->share >= 1.0;
+    return may_substitute ? std::optional<version_side>(other) : std::nullopt;
+}
+
+bool accepts_new_work(const gateway_traffic& traffic, const target_record& target) {
+    return availability_of(traffic, target, work_kind::new_work).state == acceptance::accepting;
+}
+
+std::vector<target_candidate> candidates_on_side(gateway_traffic& traffic, const std::string& service,
+                                                 version_side side) {
+    std::vector<target_candidate> candidates;
     const auto* split = find_split(traffic, service);
-    for (const auto& target : found->second) {
-        const bool is_on_side =
-            split == nullptr || is_eligible_for_side(*split, side, target.id, target.version);
-        if (target.phase == target_phase::ready && is_on_side && accepts_requests(traffic, target)) {
+    for (const auto& target : targets_of(traffic, service)) {
+        if (is_on_side(split, side, target) && accepts_new_work(traffic, target)) {
             candidates.push_back({&target, traffic.usage[target.id]});
             auto& usage = candidates.back().usage;
             const auto from_peers = sum_peer_usage(traffic, target.id);
@@ -46,42 +81,60 @@
 
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
                     const answer_head& head) {
+    if (!head.is_leaving && !head.pause) {
+        return;
+    }
+    const auto* target = find_target(traffic, target_id);
+    if (target != nullptr && has_started_anew(started_ms, target->started_ms)) {
+        traffic.sink.count("gateway_target_notices", "earlier_start");
+        return;
+    }
     const auto now = traffic.timers.now();
+    auto& notice = traffic.notices[target_id];
     if (head.is_leaving) {
-        auto& notice = traffic.notices[target_id];
-        const bool is_new = !notice.is_leaving || notice.started_ms != started_ms;
+        const bool is_new = !notice.is_leaving || has_started_anew(notice.started_ms, started_ms);
         record_leaving(notice, started_ms, now);
+        traffic.sink.count("gateway_target_notices", "leaving");
         if (is_new) {
             traffic.sink.log(log_level::info, "target_leaving",
                              {{"target", target_id},
                               {"started_ms", std::to_string(started_ms)},
                               {"view", std::to_string(traffic.view->sequence)}});
         }
+        if (target != nullptr) {
+            close_connections_if_leaving(traffic, *target);
+        }
     }
     if (head.pause) {
-        record_pause(traffic.notices[target_id], *head.pause, now);
-        traffic.sink.count("gateway_target_pauses", "refused");
+        record_pause(notice, started_ms, *head.pause, now);
+        traffic.sink.count("gateway_target_notices", "paused");
     }
 }
 
-bool accepts_requests(const gateway_traffic& traffic, const target_record& target) {
-    const auto notice = traffic.notices.find(target.id);
-    return notice == traffic.notices.end() || accepts_requests(notice->second, target, traffic.timers.now());
+target_availability availability_of(const gateway_traffic& traffic, const target_record& target,
+                                    work_kind work) {
+    const auto found = traffic.notices.find(target.id);
+    return availability_of(found != traffic.notices.end() ? found->second : target_notice{}, target, work,
+                           traffic.timers.now());
 }
 
-std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service) {
-    if (!traffic.view->targets || traffic.view->targets->count(service) == 0) {
-        return std::nullopt;
+void close_connections_if_leaving(gateway_traffic& traffic, const target_record& target) {
+    if (availability_of(traffic, target, work_kind::new_work).state == acceptance::leaving) {
+        traffic.targets.close_idle_connections(target.address);
     }
-    std::vector<time_point> ends;
-    for (const auto& target : traffic.view->targets->at(service)) {
-        const auto found = traffic.notices.find(target.id);
-        const auto notice = found != traffic.notices.end() ? found->second : target_notice{};
-        if (target.phase == target_phase::ready && !is_leaving(notice, target)) {
-            ends.push_back(notice.paused_until);
+}
+
+std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service,
+                                       version_side side) {
+    const auto* split = find_split(traffic, service);
+    const auto substitute = substitute_side(split, side);
+    std::vector<target_availability> found;
+    for (const auto& target : targets_of(traffic, service)) {
+        if (is_on_side(split, side, target) || (substitute && is_on_side(split, *substitute, target))) {
+            found.push_back(availability_of(traffic, target, work_kind::new_work));
         }
     }
-    return earliest_end(ends, traffic.timers.now());
+    return earliest_end(found);
 }
 
 void record_and_report_failure(gateway_traffic& traffic, const std::string& service, const std::string& zone,
@@ -184,30 +237,23 @@
 std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service,
                                             version_side side) {
     auto candidates = candidates_on_side(traffic, service, side);
-    const auto* split = find_split(traffic, service);
-    if (candidates.empty() && split != nullptr) {
-        const auto other = side == version_side::usual ? version_side::moved : version_side::usual;
-        if (other == version_side::usual || split->share >= 1.0) {
-            candidates = candidates_on_side(traffic, service, other);
-        }
+    const auto substitute = substitute_side(find_split(traffic, service), side);
+    if (candidates.empty() && substitute) {
+        candidates = candidates_on_side(traffic, service, *substitute);
     }
     return candidates;
 }
 
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
                                        const std::string& id) {
-    if (!traffic.view->targets) {
-        return nullptr;
-    }
-    const auto found = traffic.view->targets->find(service);
-    if (found == traffic.view->targets->end()) {
-        return nullptr;
-    }
-    const auto target = std::find_if(found->second.begin(), found->second.end(),
-                                     [&id](const target_record& record) { return record.id == id; });
-    const bool is_usable = target != found->second.end() && target->phase == target_phase::ready &&
-                           accepts_requests(traffic, *target);
-    return is_usable ? &*target : nullptr;
+    const auto* target = find_in(targets_of(traffic, service), id);
+    return target != nullptr && accepts_new_work(traffic, *target) ? target : nullptr;
+}
+
+bool may_keep_copy(const gateway_traffic& traffic, const std::string& service, const std::string& id) {
+    const auto* target = find_in(targets_of(traffic, service), id);
+    return target != nullptr &&
+           availability_of(traffic, *target, work_kind::new_work).state != acceptance::leaving;
 }
 
 bool can_trust_keys(const gateway_traffic& traffic) {
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -54,10 +54,10 @@
         return;
     }
     if (!head.is_other_target) {
-        record_notices(m_traffic, current.target_id, current.target_started_ms, head);
+        record_notices(m_traffic, current.target.id, current.target.started_ms, head);
     }
     if (head.load) {
-        record_target_load(m_traffic.usage[current.target_id], head.load->running + head.load->waiting,
+        record_target_load(m_traffic.usage[current.target.id], head.load->running + head.load->waiting,
                            m_traffic.timers.now());
     }
     const bool is_success = head.status >= 200 && head.status < 300;
@@ -121,7 +121,7 @@
         // The time to the first event is not a gap between events.
         current.timing = {};
         schedule_report(m_traffic);
-        auto& usage = m_traffic.usage[current.target_id];
+        auto& usage = m_traffic.usage[current.target.id];
         usage.awaiting_first_event_count -= usage.awaiting_first_event_count > 0 ? 1 : 0;
         record_target_success(usage);
         if (m_delivered == delivery_phase::events) {
@@ -154,7 +154,7 @@
 }
 
 observed_answer proxied_request::observed(const attempt& current) const {
-    return {m_service_name, m_route->name, current.version};
+    return {m_service_name, m_route->name, current.target.version};
 }
 
 void proxied_request::watch_first_event() {
@@ -224,11 +224,11 @@
             observe_completion(m_traffic, observed(current), taken);
             m_traffic.mean_stream_duration +=
                 (taken - m_traffic.mean_stream_duration) / k_stream_duration_samples;
-            record_target_success(m_traffic.usage[current.target_id]);
+            record_target_success(m_traffic.usage[current.target.id]);
             report_prompt_success(m_traffic, shared_parts(m_request.prompt));
         }
         if (!current.copy.name.empty()) {
-            release_standby_copy(m_traffic, current.copy.source_address, current.copy.name);
+            release_standby_copy(m_traffic, current.target, current.copy.name);
         }
         release_target(take_attempt());
         m_caller.finish();
@@ -240,7 +240,7 @@
     if (!done.is_overdue) {
         observe_first_event(m_traffic, observed(done), m_traffic.timers.now() - done.started);
     }
-    record_target_success(m_traffic.usage[done.target_id]);
+    record_target_success(m_traffic.usage[done.target.id]);
     release_target(done);
     deliver_answer(done);
     finish("served");
--- a/src/traffic/proxied_placement.cpp
+++ b/src/traffic/proxied_placement.cpp
@@ -53,8 +53,8 @@
         !m_service->engine->sends_copies) {
         return;
     }
-    want.excluded.push_back(next.target_id);
-    want.avoided_zone = next.zone;
+    want.excluded.push_back(next.target.id);
+    want.avoided_zone = next.target.zone;
     if (const auto chosen = choose_target_for_copy(candidates, want, m_traffic.random)) {
         const auto& record = *candidates[*chosen].record;
         next.copy = {record.id, record.address, "", ""};
@@ -156,7 +156,11 @@
     m_prompt_search.pending_queries = preferred.size() + 1;
     for (const auto& id : preferred) {
         const auto* record = find_ready_target(m_traffic, m_service_name, id);
-        query_prefix_cache(m_traffic, record != nullptr ? record->address : "",
+        if (record == nullptr) {
+            handle_cached_parts(id, {});
+            continue;
+        }
+        query_prefix_cache(m_traffic, *record,
                            [self = shared_from_this(), id](const std::vector<prompt_part>& cached) {
                                self->handle_cached_parts(id, cached);
                            });
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -131,11 +131,7 @@
     }
     attempt next;
     next.number = ++m_attempts;
-    next.target_id = record->id;
-    next.zone = record->zone;
-    next.address = record->address;
-    next.version = record->version;
-    next.target_started_ms = record->started_ms;
+    next.target = *record;
     next.from_copy = from_copy;
     next.started = want.now;
     next.timing.last = want.now;
@@ -180,7 +176,7 @@
 }
 
 void proxied_request::release_target(const attempt& ended) {
-    auto& usage = m_traffic.usage[ended.target_id];
+    auto& usage = m_traffic.usage[ended.target.id];
     usage.in_flight -= usage.in_flight > 0 ? 1 : 0;
     usage.memory_tokens -= std::min(usage.memory_tokens, memory_tokens());
     if (!ended.has_event) {
@@ -189,6 +185,7 @@
     if (!ended.copy.target_id.empty()) {
         remove_copy(ended.copy.target_id);
     }
+    close_connections_if_leaving(m_traffic, ended.target);
     if (is_stream()) {
         schedule_report(m_traffic);
         record_release(m_traffic.admission[m_service_name].releases, m_traffic.timers.now());
@@ -217,7 +214,7 @@
         break;
     }
     if (failure) {
-        record_and_report_failure(m_traffic, m_service_name, ended.zone, ended.target_id, *failure);
+        record_and_report_failure(m_traffic, m_service_name, ended.target.zone, ended.target.id, *failure);
     }
 }
 
@@ -225,7 +222,7 @@
 // producing events for; those say nothing about their prompts.
 void proxied_request::record_crash_of(const attempt& ended) {
     if (ended.is_connection_lost && ended.event_count < k_events_to_clear) {
-        report_prompt_crash(m_traffic, m_service_name, ended.target_id, shared_parts(m_request.prompt));
+        report_prompt_crash(m_traffic, m_service_name, ended.target.id, shared_parts(m_request.prompt));
     }
 }
 
@@ -236,7 +233,7 @@
     release_target(ended);
     record_health(ended, end);
     record_crash_of(ended);
-    const std::string target = ended.target_id;
+    const std::string target = ended.target.id;
     m_runs += may_have_run(end) ? 1 : 0;
     if (may_have_run(end)) {
         // The engine starts the standby copy only after it has read the prompt, that is, after the first
@@ -287,7 +284,7 @@
     const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
     facts.has_target = std::any_of(candidates.begin(), candidates.end(), [this](const auto& candidate) {
         const auto& id = candidate.record->id;
-        return !(m_attempt && m_attempt->target_id == id) &&
+        return !(m_attempt && m_attempt->target.id == id) &&
                std::find(m_excluded.begin(), m_excluded.end(), id) == m_excluded.end();
     });
     return facts;
@@ -365,7 +362,7 @@
     switch (kind) {
     case error_kind::no_target:
     case error_kind::target_busy: {
-        const auto end = end_of_pause(m_traffic, m_service_name);
+        const auto end = end_of_pause(m_traffic, m_service_name, m_side);
         return end ? return_after_pause(*end, m_traffic.timers.now()) : k_retry_after;
     }
     case error_kind::leaving:
@@ -436,7 +433,7 @@
          {"attempt", std::to_string(m_attempts)},
          {"runs", std::to_string(m_runs)},
          {"resumes", std::to_string(m_resumes)},
-         {"target", m_attempt ? m_attempt->target_id : (m_excluded.empty() ? "" : m_excluded.back())},
+         {"target", m_attempt ? m_attempt->target.id : (m_excluded.empty() ? "" : m_excluded.back())},
          {"copy", m_copy.target_id},
          {"last_event", m_last_event_id},
          {"first_event_ms", to_ms(m_first_event)},
--- a/src/traffic/proxied_stall.cpp
+++ b/src/traffic/proxied_stall.cpp
@@ -103,7 +103,7 @@
     const auto usage = m_traffic.usage.find(copy.target_id);
     const bool is_avoided =
         usage != m_traffic.usage.end() && usage->second.avoid_until > m_traffic.timers.now();
-    return is_avoided || find_ready_target(m_traffic, m_service_name, copy.target_id) == nullptr;
+    return is_avoided || !may_keep_copy(m_traffic, m_service_name, copy.target_id);
 }
 
 void proxied_request::maintain_copy() {
@@ -117,7 +117,7 @@
         !current.copy.name.empty() && now - current.copy_checked >= k_copy_refresh_interval;
     if (is_copy_lost(current.copy)) {
         renew_copy(true);
-    } else if (is_refresh_due) {
+    } else if (is_refresh_due && find_ready_target(m_traffic, m_service_name, current.copy.target_id)) {
         renew_copy(false);
     }
     if (current.copy.name.empty()) {
@@ -131,32 +131,33 @@
     if (is_new_holder) {
         const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
         auto want = placement_among(candidates);
-        want.excluded = {current.target_id, current.copy.target_id};
-        want.avoided_zone = current.zone;
+        want.excluded = {current.target.id, current.copy.target_id};
+        want.avoided_zone = current.target.zone;
         const auto chosen = choose_target_for_copy(candidates, want, m_traffic.random);
         if (!chosen) {
             return;
         }
-        copy = {candidates[*chosen].record->id, candidates[*chosen].record->address, current.address, ""};
+        copy = {candidates[*chosen].record->id, candidates[*chosen].record->address, current.target.address,
+                ""};
     }
     current.is_copying = true;
     current.copy_checked = m_traffic.timers.now();
-    make_standby_copy(
-        m_traffic, current.address, m_request.forwarded->id, copy,
-        [self = shared_from_this(), number = current.number, copy](const std::optional<std::string>& name) {
-            if (self->m_is_done || !self->m_attempt || self->m_attempt->number != number) {
-                if (name) {
-                    release_standby_copy(self->m_traffic, copy.source_address, *name);
-                }
-                return;
-            }
-            self->m_attempt->is_copying = false;
-            auto made = copy;
-            made.name = name.value_or(copy.name);
-            if (!made.name.empty()) {
-                self->replace_copy(std::move(made));
-            }
-        });
+    make_standby_copy(m_traffic, current.target, m_request.forwarded->id, copy,
+                      [self = shared_from_this(), number = current.number, copy,
+                       source = current.target](const std::optional<std::string>& name) {
+                          if (self->m_is_done || !self->m_attempt || self->m_attempt->number != number) {
+                              if (name) {
+                                  release_standby_copy(self->m_traffic, source, *name);
+                              }
+                              return;
+                          }
+                          self->m_attempt->is_copying = false;
+                          auto made = copy;
+                          made.name = name.value_or(copy.name);
+                          if (!made.name.empty()) {
+                              self->replace_copy(std::move(made));
+                          }
+                      });
 }
 
 void proxied_request::replace_copy(standby_copy copy) {
@@ -173,7 +174,7 @@
 
 void proxied_request::probe_target() {
     m_attempt->is_probing = true;
-    probe_run(m_traffic, m_attempt->address, m_request.forwarded->id,
+    probe_run(m_traffic, m_attempt->target, m_request.forwarded->id,
               [self = shared_from_this(), number = m_attempt->number](run_status status) {
                   if (self->m_is_done || !self->m_attempt || self->m_attempt->number != number) {
                       return;
@@ -197,7 +198,7 @@
 }
 
 bool proxied_request::is_stalled_at(const std::string& target_id, bool is_certain) const {
-    if (m_is_done || !m_attempt || m_attempt->target_id != target_id || !m_route->is_repeatable()) {
+    if (m_is_done || !m_attempt || m_attempt->target.id != target_id || !m_route->is_repeatable()) {
         return false;
     }
     // An engine that is reading a prompt sends nothing, so a missing first event does not indicate a loss.
--- a/src/traffic/target_call.cpp
+++ b/src/traffic/target_call.cpp
@@ -29,13 +29,26 @@
 
 } // namespace
 
-void send_target_request(gateway_traffic& traffic, const std::string& address,
+void send_target_request(gateway_traffic& traffic, const target_record& target, work_kind work,
                          std::shared_ptr<const forwarded_request> request, milliseconds limit,
                          std::function<void(std::optional<target_reply>)> done) {
+    const auto availability = availability_of(traffic, target, work);
+    if (availability.state != acceptance::accepting) {
+        traffic.sink.count("gateway_engine_calls_withheld",
+                           std::string(name_of(k_acceptance_names, availability.state)));
+        done(std::nullopt);
+        return;
+    }
     const auto call = std::make_shared<call_state>();
     call->done = std::move(done);
     attempt_events events;
-    events.on_head = [call](const answer_head& head) { call->reply.status = head.status; };
+    events.on_head = [call, &traffic, target](const answer_head& head) {
+        call->reply.status = head.status;
+        // An answer with a request's id is a late one to that request.
+        if (head.has_matching_request_id) {
+            record_notices(traffic, target.id, target.started_ms, head);
+        }
+    };
     events.on_body = [call](std::string_view bytes) {
         call->reply.body.append(bytes);
         if (call->reply.body.size() > k_max_reply_bytes && call->done) {
@@ -43,12 +56,15 @@
             call->end(std::nullopt);
         }
     };
-    events.on_end = [call] { call->end(std::move(call->reply)); };
+    events.on_end = [call, &traffic, target] {
+        close_connections_if_leaving(traffic, target);
+        call->end(std::move(call->reply));
+    };
     events.on_failure = [call](attempt_end /*end*/, const std::string& /*detail*/) {
         call->end(std::nullopt);
     };
     attempt_parameters options;
-    options.address = address;
+    options.address = target.address;
     options.time_left = limit;
     call->timer = traffic.timers.after(limit, [call] {
         if (call->done) {
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -57,7 +57,9 @@
             return attempt_handle{[attempt] { attempt->is_cancelled = true; },
                                   [attempt](bool paused) { attempt->pauses.push_back(paused); }};
         };
-        traffic.targets.close_idle_connections = [](const std::string&) {};
+        traffic.targets.close_idle_connections = [this](const std::string& address) {
+            closed_addresses.push_back(address);
+        };
         traffic.sink.log = [](log_level, std::string_view, const std::vector<log_field>&) {};
         traffic.sink.count = [](const std::string&, const std::string&) {};
         traffic.sink.observe = [](const std::string&, double) {};
@@ -178,6 +180,8 @@
     time_point now{std::chrono::seconds(100)};
     boot_time boot{0};
     std::vector<std::shared_ptr<fake_attempt>> attempts;
+    /// Addresses to which the idle connections were closed, in order.
+    std::vector<std::string> closed_addresses;
     fake_caller caller;
     gateway_traffic traffic;
 
--- a/tests/unit/target_notice_test.cpp
+++ b/tests/unit/target_notice_test.cpp
@@ -2,6 +2,7 @@
 
 #include "support/fake_gateway.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <utility>
@@ -15,6 +16,12 @@
 
 constexpr time_point k_now{std::chrono::seconds(100)};
 
+target_record started_at(std::uint64_t started_ms) {
+    target_record target;
+    target.started_ms = started_ms;
+    return target;
+}
+
 struct leaving_case {
     const char* name;
     bool is_recorded;
@@ -37,9 +44,78 @@
     if (test.is_recorded) {
         record_leaving(notice, test.recorded_start_ms, k_now);
     }
-    target_record target;
-    target.started_ms = test.start_ms;
-    CHECK(accepts_requests(notice, target, k_now + std::chrono::hours(2)) == test.accepts);
+    const auto found = availability_of(notice, started_at(test.start_ms), work_kind::new_work,
+                                       k_now + std::chrono::hours(2));
+    CHECK(found.state == (test.accepts ? acceptance::accepting : acceptance::leaving));
+}
+
+struct availability_case {
+    const char* name;
+    target_phase phase;
+    bool is_leaving;
+    bool is_paused;
+    work_kind work;
+    acceptance state;
+};
+
+// Guards against calls during a pause, against new work for a target that leaves, and against generations at
+// such a target that nobody looks after.
+TEST_CASE("a target's registration and notice decide what is sent to it") {
+    const auto ready = target_phase::ready;
+    const auto draining = target_phase::draining;
+    const auto test = GENERATE_COPY(from_range(std::vector<availability_case>{
+        {"nothing known", ready, false, false, work_kind::new_work, acceptance::accepting},
+        {"draining", draining, false, false, work_kind::new_work, acceptance::leaving},
+        {"draining, its generations", draining, false, false, work_kind::running_work, acceptance::accepting},
+        {"leaving", ready, true, false, work_kind::new_work, acceptance::leaving},
+        {"leaving, its generations", ready, true, false, work_kind::running_work, acceptance::accepting},
+        {"paused", ready, false, true, work_kind::new_work, acceptance::paused},
+        {"paused, its generations", ready, false, true, work_kind::running_work, acceptance::paused},
+        {"both", ready, true, true, work_kind::new_work, acceptance::leaving},
+        {"both, its generations", ready, true, true, work_kind::running_work, acceptance::paused},
+    }));
+    CAPTURE(test.name);
+    target_notice notice;
+    if (test.is_leaving) {
+        record_leaving(notice, 7, k_now);
+    }
+    if (test.is_paused) {
+        record_pause(notice, 7, milliseconds(500), k_now);
+    }
+    auto target = started_at(7);
+    target.phase = test.phase;
+    const auto found = availability_of(notice, target, test.work, k_now);
+    CHECK(found.state == test.state);
+    if (test.state == acceptance::paused) {
+        CHECK(found.until == k_now + milliseconds(500));
+    }
+}
+
+struct new_start_case {
+    const char* name;
+    std::uint64_t recorded_start_ms;
+    std::uint64_t start_ms;
+    bool accepts;
+};
+
+// Guards against a restarted target that inherits the pause of its predecessor.
+TEST_CASE("a target that starts anew is free of its pause") {
+    const auto test = GENERATE(from_range(std::vector<new_start_case>{
+        {"same start", 7, 7, false},
+        {"another start", 7, 8, true},
+        {"start not known then", 0, 8, false},
+        {"start not known now", 7, 0, false},
+    }));
+    CAPTURE(test.name);
+    target_notice notice;
+    record_pause(notice, test.recorded_start_ms, milliseconds(500), k_now);
+    const auto found = availability_of(notice, started_at(test.start_ms), work_kind::new_work, k_now);
+    CHECK((found.state == acceptance::accepting) == test.accepts);
+    if (test.accepts) {
+        record_pause(notice, test.start_ms, milliseconds(100), k_now);
+        CHECK(availability_of(notice, started_at(test.start_ms), work_kind::new_work, k_now).until ==
+              k_now + milliseconds(100));
+    }
 }
 
 struct pause_case {
@@ -59,10 +135,13 @@
     CAPTURE(test.name);
     target_notice notice;
     for (const auto pause : test.pauses) {
-        record_pause(notice, pause, k_now);
+        record_pause(notice, 7, pause, k_now);
     }
-    CHECK_FALSE(accepts_requests(notice, {}, k_now + test.end - milliseconds(1)));
-    CHECK(accepts_requests(notice, {}, k_now + test.end));
+    const auto state_at = [&notice](time_point now) {
+        return availability_of(notice, started_at(7), work_kind::new_work, now).state;
+    };
+    CHECK(state_at(k_now + test.end - milliseconds(1)) == acceptance::paused);
+    CHECK(state_at(k_now + test.end) == acceptance::accepting);
 }
 
 struct lifetime_case {
@@ -85,33 +164,36 @@
     if (test.is_leaving) {
         record_leaving(notice, 7, k_now);
     } else {
-        record_pause(notice, std::chrono::minutes(1), k_now);
+        record_pause(notice, 7, std::chrono::minutes(1), k_now);
     }
     CHECK(is_obsolete(notice, k_now + test.age) == test.is_obsolete);
 }
 
 struct return_case {
     const char* name;
-    std::vector<milliseconds> ends;
-    /// Negative if a target accepts requests now.
+    /// What each target has stated.
+    std::vector<target_availability> targets;
+    /// Negative if there is no pause to wait for.
     milliseconds retry_after;
 };
 
+target_availability paused_for(milliseconds time) {
+    return {acceptance::paused, k_now + time};
+}
+
 // Guards against callers that return before a target accepts their requests, or long after.
 TEST_CASE("callers return at the end of the first pause") {
     const auto test = GENERATE(from_range(std::vector<return_case>{
         {"no targets", {}, milliseconds(-1)},
-        {"one accepts", {milliseconds(0), milliseconds(900)}, milliseconds(-1)},
-        {"first of two", {milliseconds(2'000), milliseconds(900)}, milliseconds(900)},
-        {"nearly over", {milliseconds(20)}, milliseconds(200)},
-        {"long", {std::chrono::minutes(5)}, milliseconds(5'000)},
+        {"one accepts", {{}, paused_for(milliseconds(900))}, milliseconds(-1)},
+        {"first of two", {paused_for(milliseconds(2'000)), paused_for(milliseconds(900))}, milliseconds(900)},
+        {"all leave", {{acceptance::leaving, {}}}, milliseconds(-1)},
+        {"one leaves", {{acceptance::leaving, {}}, paused_for(milliseconds(900))}, milliseconds(900)},
+        {"nearly over", {paused_for(milliseconds(20))}, milliseconds(200)},
+        {"long", {paused_for(std::chrono::minutes(5))}, milliseconds(5'000)},
     }));
     CAPTURE(test.name);
-    std::vector<time_point> ends;
-    for (const auto end : test.ends) {
-        ends.push_back(k_now + end);
-    }
-    const auto end = earliest_end(ends, k_now);
+    const auto end = earliest_end(test.targets);
     CHECK(end.has_value() == (test.retry_after >= milliseconds(0)));
     if (end) {
         CHECK(return_after_pause(*end, k_now) == test.retry_after);
@@ -142,6 +224,17 @@
     }
 }
 
+// What a target states in an answer.
+answer_head statement(bool is_leaving, milliseconds pause) {
+    auto head = fake_gateway::head(pause > milliseconds(0) ? 503 : 200);
+    head.is_leaving = is_leaving;
+    if (pause > milliseconds(0)) {
+        head.pause = pause;
+        head.is_not_run = true;
+    }
+    return head;
+}
+
 struct leaving_target_case {
     const char* name;
     bool lapses;
@@ -190,7 +283,7 @@
     first->events.on_body(fake_gateway::event(1));
     gateway.advance(milliseconds(100));
     CHECK_FALSE(first->is_cancelled);
-    record_leaving(gateway.traffic.notices[holder], 0, gateway.now);
+    record_notices(gateway.traffic, holder, 0, statement(true, milliseconds(0)));
     first->events.on_failure(attempt_end::broken, "scripted");
     const auto second = gateway.attempts.at(1);
     CHECK_FALSE(second->options.from_copy);
@@ -257,6 +350,194 @@
     }
 }
 
+std::size_t count_calls(const fake_gateway& gateway, const std::string& address) {
+    return static_cast<std::size_t>(
+        std::count_if(gateway.attempts.begin(), gateway.attempts.end(), [&address](const auto& attempt) {
+            return attempt->options.target_id.empty() && attempt->options.address == address;
+        }));
+}
+
+void enable_engine_calls(fake_gateway& gateway) {
+    auto& engine = gateway.traffic.engine;
+    engine.status_request = std::make_shared<forwarded_request>();
+    engine.decode_status = [](const std::string&, const std::string&) {
+        return run_status{run_state::not_told, 0};
+    };
+    engine.make_standby_copy_request = [](const std::string&, const std::string&) {
+        return std::make_shared<forwarded_request>();
+    };
+    engine.decode_standby_copy = [](const std::string&) { return std::optional<std::string>("copy-1"); };
+    engine.make_release_request = [](const std::string&) { return std::make_shared<forwarded_request>(); };
+}
+
+enum class call_cause { silence, lost_holder, end_of_stream };
+
+struct call_case {
+    const char* name;
+    call_cause cause;
+    bool is_leaving;
+    milliseconds pause;
+    bool is_called;
+};
+
+// Guards against calls about running generations to a target that wants no requests, and against generations
+// at a target that leaves which are no longer looked after.
+TEST_CASE("a target that pauses gets no calls about its generations") {
+    const milliseconds none(0);
+    const milliseconds pause(5'000);
+    const auto test = GENERATE_COPY(from_range(std::vector<call_case>{
+        {"probe", call_cause::silence, false, none, true},
+        {"probe, leaving", call_cause::silence, true, none, true},
+        {"probe, paused", call_cause::silence, false, pause, false},
+        {"copy", call_cause::lost_holder, false, none, true},
+        {"copy, leaving", call_cause::lost_holder, true, none, true},
+        {"copy, paused", call_cause::lost_holder, false, pause, false},
+        {"release", call_cause::end_of_stream, false, none, true},
+        {"release, leaving", call_cause::end_of_stream, true, none, true},
+        {"release, paused", call_cause::end_of_stream, false, pause, false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    enable_engine_calls(gateway);
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(fake_gateway::head(200));
+    first->events.on_body(fake_gateway::event(1));
+    const auto lose_holder = [&gateway, &first] {
+        record_and_report_failure(gateway.traffic, "service", "b", first->options.copy_to.target_id,
+                                  target_failure_kind::unreachable);
+        gateway.advance(milliseconds(250));
+        first->events.on_body(fake_gateway::event(2));
+    };
+    if (test.cause == call_cause::end_of_stream) {
+        lose_holder();
+        answer(*gateway.attempts.at(1), fake_gateway::head(200));
+    }
+    const auto before = count_calls(gateway, first->options.address);
+    record_notices(gateway.traffic, first->options.target_id, 0, statement(test.is_leaving, test.pause));
+    switch (test.cause) {
+    case call_cause::silence:
+        gateway.advance(milliseconds(650));
+        break;
+    case call_cause::lost_holder:
+        lose_holder();
+        break;
+    case call_cause::end_of_stream:
+        first->events.on_end();
+        CHECK(gateway.caller.is_finished);
+        break;
+    }
+    CHECK((count_calls(gateway, first->options.address) > before) == test.is_called);
+}
+
+struct holder_case {
+    const char* name;
+    bool is_leaving;
+    milliseconds pause;
+    bool is_moved;
+};
+
+// Guards against the copies of many streams that all move because their holder pauses for a moment, and
+// against a copy that ends with its holder.
+TEST_CASE("a standby copy moves if its holder leaves, not if it pauses") {
+    const auto test = GENERATE(from_range(std::vector<holder_case>{
+        {"neither", false, milliseconds(0), false},
+        {"paused", false, milliseconds(5'000), false},
+        {"leaving", true, milliseconds(0), true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    enable_engine_calls(gateway);
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(fake_gateway::head(200));
+    first->events.on_body(fake_gateway::event(1));
+    const auto holder = first->options.copy_to.target_id;
+    REQUIRE_FALSE(holder.empty());
+    record_notices(gateway.traffic, holder, 0, statement(test.is_leaving, test.pause));
+    gateway.advance(milliseconds(250));
+    first->events.on_body(fake_gateway::event(2));
+    CHECK((count_calls(gateway, first->options.address) == 1) == test.is_moved);
+    first->events.on_failure(attempt_end::broken, "scripted");
+    const bool is_resumed_there = gateway.attempts.back()->options.target_id == holder;
+    CHECK(is_resumed_there == (!test.is_leaving && test.pause == milliseconds(0)));
+}
+
+struct call_answer_case {
+    const char* name;
+    bool is_leaving;
+    milliseconds pause;
+    bool has_matching_request_id;
+    bool accepts;
+};
+
+// Guards against notices that are heard only in answers to callers' requests, and against late answers to
+// other requests that are taken for the answer to a call.
+TEST_CASE("a target's notice counts in the answer to a call about it") {
+    const auto test = GENERATE(from_range(std::vector<call_answer_case>{
+        {"none", false, milliseconds(0), true, true},
+        {"leaving", true, milliseconds(0), true, false},
+        {"paused", false, milliseconds(3'000), true, false},
+        {"of another request", true, milliseconds(0), false, true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    enable_engine_calls(gateway);
+    gateway.publish(request_kind::streaming, 5, 6);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    first->events.on_head(fake_gateway::head(200));
+    first->events.on_body(fake_gateway::event(1));
+    gateway.advance(milliseconds(650));
+    REQUIRE(count_calls(gateway, first->options.address) == 1);
+    auto head = statement(test.is_leaving, test.pause);
+    head.has_matching_request_id = test.has_matching_request_id;
+    answer(*gateway.attempts.back(), head);
+    const auto* found = find_ready_target(gateway.traffic, "service", first->options.target_id);
+    CHECK((found != nullptr) == test.accepts);
+}
+
+struct late_statement_case {
+    const char* name;
+    std::uint64_t answer_start_ms;
+    std::uint64_t start_ms;
+    bool accepts;
+};
+
+// Guards against an answer from before a restart that ends or starts a pause of the restarted target.
+TEST_CASE("what a target stated before its restart does not concern its present start") {
+    const auto test = GENERATE(from_range(std::vector<late_statement_case>{
+        {"present start", 8, 8, false},
+        {"earlier start", 7, 8, true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 1);
+    set_target(gateway, true, test.start_ms);
+    record_notices(gateway.traffic, "t1", test.answer_start_ms, statement(false, milliseconds(3'000)));
+    CHECK((find_ready_target(gateway.traffic, "service", "t1") != nullptr) == test.accepts);
+    record_notices(gateway.traffic, "t1", test.start_ms, statement(true, milliseconds(0)));
+    record_notices(gateway.traffic, "t1", 7, statement(false, milliseconds(3'000)));
+    CHECK(find_ready_target(gateway.traffic, "service", "t1") == nullptr);
+}
+
+// Guards against idle connections to a target that leaves, which keep it from ending.
+TEST_CASE("idle connections to a target that leaves are closed") {
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 1);
+    const auto first = gateway.request();
+    const auto second = gateway.request();
+    gateway.attempts.at(0)->events.on_head(statement(true, milliseconds(0)));
+    const std::string address = gateway.attempts[0]->options.address;
+    CHECK(gateway.closed_addresses == std::vector<std::string>{address});
+    gateway.attempts[0]->events.on_end();
+    CHECK(gateway.closed_addresses.size() == 2);
+    answer(*gateway.attempts.at(1), fake_gateway::head(200));
+    CHECK(gateway.closed_addresses == std::vector<std::string>{address, address, address});
+}
+
 } // namespace
 
 } // namespace lovage
