Let requests wait for the end of a pause of all targets

Cause: while all targets of a service paused, every request was refused, also if the pause ended within its objective; all processes and callers returned at the same moment. Change: requests of all kinds wait in the admission queue if they can start within half of their objective; the others are refused at once as not run. After the first end they start at twice the rate at which they arrived, by priority, organisation and arrival. Each process ends a pause later by a random part of up to a quarter, callers return over half of the time left. One timer a service at a time: a new check replaces a later one.

--- a/include/lovage/core/admission_wait.h
+++ b/include/lovage/core/admission_wait.h
@@ -5,10 +5,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace lovage {
 
-/// What to do with a new generation while engines may be short of memory.
+/// What to do with a new request while engines may be short of memory or all targets pause.
 ///
 /// Load pattern: more long prompts arrive than the engines' memory holds. Sent on at once, each of them makes
 /// an engine preempt a running generation, so that all become late. Waiting here costs no engine anything; a
@@ -38,15 +39,40 @@
     std::size_t waiting_before = 0;
     /// Time for which it may wait and still meet its objective.
     time_point::duration patience{};
+    /// Time until the first target accepts requests again, if all targets have asked for a pause, and the
+    /// time for which requests have waited for that already.
+    std::optional<time_point::duration> pause_left{};
+    time_point::duration waited_for_pause{};
+    /// Interval at which requests that waited for the end of a pause are being started; 0 if none are.
+    time_point::duration start_interval{};
 };
 
+/// The starts of requests that have waited for the end of a pause.
+///
+/// Load pattern: all targets of a service pause, and requests collect in every process. Started at one
+/// moment, they would be a burst of the whole pause's requests. They are started at twice the rate at which
+/// they arrived.
+struct start_pace {
+    /// Time between two starts; 0 if no requests have waited for a pause.
+    time_point::duration interval{};
+    time_point next{};
+    /// Starts that are left.
+    std::size_t left = 0;
+};
+
+/// Plans the starts of `waiting` requests that have arrived within `waited` before the end of a pause.
+start_pace plan_starts(std::size_t waiting, time_point::duration waited, time_point now);
+
+/// Records a start at `start_pace::next`. `is_last` ends the pace.
+void record_paced_start(start_pace& pace, bool is_last);
+
 /// Records that a generation of this process has ended.
 void record_release(release_rate& rate, time_point now);
 
 /// Returns the expected time until a generation with `waiting_before` others before it can start.
 milliseconds expected_wait(const release_rate& rate, std::size_t waiting_before);
 
-/// Decides whether a new generation starts, waits or is refused.
+/// Decides whether a new request starts, waits or is refused.
 admission_step decide_admission(const release_rate& rate, const admission_request& request);
 
 /// Returns when the next waiting generation may start if there is room. All processes see the room that one
--- a/include/lovage/core/target_notice.h
+++ b/include/lovage/core/target_notice.h
@@ -62,7 +62,12 @@
 /// Records that the target that started at `started_ms` wants no requests for `pause`, which is limited to
 /// 10 minutes. It never shortens an earlier pause of the same start: answers may arrive in any order, and
 /// each one binds until its end. Replaces the notice of another start.
-void record_pause(target_notice& notice, std::uint64_t started_ms, milliseconds pause, time_point now);
+///
+/// Load pattern: all targets of a zone refuse at one moment with the same Retry-After, so that all processes
+/// would return to them at one moment. Each process adds a part of the pause, chosen by `position`, a random
+/// number from 0 to 1.
+void record_pause(target_notice& notice, std::uint64_t started_ms, milliseconds pause, double position,
+                  time_point now);
 
 /// Whether the starts are known and differ.
 bool has_started_anew(std::uint64_t noticed_ms, std::uint64_t started_ms);
@@ -73,7 +78,8 @@
 /// now.
 std::optional<time_point> earliest_end(const std::vector<target_availability>& targets);
 
-/// Returns the Retry-After for a caller whose request no target accepts until `end`.
-milliseconds return_after_pause(time_point end, time_point now);
+/// Returns the Retry-After for a caller whose request no target accepts until `end`. `position`, a random
+/// number from 0 to 1, spreads the callers over the time after the end.
+milliseconds return_after_pause(time_point end, double position, time_point now);
 
 } // namespace lovage
--- a/include/lovage/traffic/admission_queue.h
+++ b/include/lovage/traffic/admission_queue.h
@@ -2,8 +2,10 @@
 
 #include "lovage/core/admission_wait.h"
 #include "lovage/core/fair_queue.h"
+#include "lovage/ports/timer_port.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -11,29 +13,44 @@
 
 struct gateway_traffic;
 
-/// New generations of one service that wait for an engine with memory. Accessed only by the traffic thread.
+/// Whether a request that waits can start.
+struct start_condition {
+    bool has_room = true;
+    /// When the first target accepts requests again, if all that may serve the request pause.
+    std::optional<time_point> pause_end;
+};
+
+/// New requests of one service that wait for an engine with memory, or for the end of a pause that all
+/// targets have asked for. Accessed only by the traffic thread.
 struct admission_queue {
-    /// A generation that waits, and how to start it.
-    struct waiting_generation {
-        std::function<bool()> has_room;
+    /// A request that waits, and how to start it.
+    struct waiting_request {
+        /// Whether it also waits for memory of an engine.
+        bool needs_memory = false;
+        std::function<start_condition()> condition;
         std::function<void()> start;
     };
     fair_queue queue;
-    std::unordered_map<queue_ticket, waiting_generation> waiting;
+    std::unordered_map<queue_ticket, waiting_request> waiting;
     queue_ticket last_ticket = 0;
     release_rate releases;
-    bool is_dispatch_scheduled = false;
+    /// When the first request began to wait for the end of a pause that is not over.
+    std::optional<time_point> pausing_since;
+    start_pace pace;
+    /// When the next check is due, if one is scheduled.
+    std::optional<time_point> dispatch_at;
+    timer_cancel cancel_dispatch;
 };
 
-/// Adds a generation; returns its ticket, or 0 if the queue has no room for it. `place` needs no ticket.
-queue_ticket wait_for_memory(admission_queue& admission, queued_request place,
-                             admission_queue::waiting_generation generation);
+/// Adds a request; returns its ticket, or 0 if the queue has no room for it. `place` needs no ticket.
+queue_ticket wait_to_start(gateway_traffic& traffic, const std::string& service, queued_request place,
+                           admission_queue::waiting_request request);
 
-/// Removes a generation that starts no more.
+/// Removes a request that starts no more.
 void stop_waiting(admission_queue& admission, queue_ticket ticket);
 
-/// Schedules a check whether waiting generations can start, because memory may have come free. Does nothing
-/// if none waits or a check is scheduled already.
+/// Schedules a check whether waiting requests can start, because memory may have come free or targets may
+/// accept requests again. Does nothing if none waits or an earlier check is scheduled.
 void schedule_dispatch(gateway_traffic& traffic, const std::string& service,
                        milliseconds delay = milliseconds(0));
 
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -110,8 +110,10 @@
     void admit();
     void start_or_wait();
     bool has_engine_memory();
-    void wait_for_engine(milliseconds patience);
-    void refuse_for_lack_of_memory();
+    bool needs_engine_memory() const;
+    start_condition condition_to_start();
+    void wait_for_turn(milliseconds patience);
+    void refuse_waiting();
     bool may_start() const;
     bool is_quarantined() const;
     bool has_previous_answer() const;
--- a/src/core/admission_wait.cpp
+++ b/src/core/admission_wait.cpp
@@ -15,6 +15,10 @@
 constexpr milliseconds k_min_return{200};
 constexpr milliseconds k_max_return{6'000};
 
+// Requests that have waited for the end of a pause start at this multiple of the rate at which they arrived.
+constexpr std::int64_t k_catch_up_factor = 2;
+constexpr time_point::duration k_min_start_interval = std::chrono::microseconds(100);
+
 milliseconds interval_of(const release_rate& rate) {
     const double interval = rate.mean_interval_ms > 0.0 ? rate.mean_interval_ms : k_default_interval_ms;
     return milliseconds(static_cast<std::int64_t>(interval));
@@ -47,12 +51,37 @@
     return interval_of(rate) * static_cast<std::int64_t>(waiting_before + 1);
 }
 
+start_pace plan_starts(std::size_t waiting, time_point::duration waited, time_point now) {
+    start_pace pace;
+    if (waiting > 0) {
+        const auto interval = waited / (k_catch_up_factor * static_cast<std::int64_t>(waiting));
+        pace.interval = std::max(interval, k_min_start_interval);
+        pace.next = now;
+        pace.left = waiting;
+    }
+    return pace;
+}
+
+void record_paced_start(start_pace& pace, bool is_last) {
+    pace.next += pace.interval;
+    pace.left -= pace.left > 0 ? 1 : 0;
+    if (is_last) {
+        pace = {};
+    }
+}
+
 admission_step decide_admission(const release_rate& rate, const admission_request& request) {
-    if (request.has_room && request.waiting_before == 0) {
+    if (request.has_room && request.waiting_before == 0 && !request.pause_left) {
         return admission_step::start;
     }
-    return expected_wait(rate, request.waiting_before) <= request.patience ? admission_step::wait
-                                                                           : admission_step::refuse;
+    time_point::duration wait = expected_wait(rate, request.waiting_before);
+    if (request.pause_left) {
+        // Those that wait already start first, at a multiple of the rate at which they arrived.
+        wait = *request.pause_left + request.waited_for_pause / k_catch_up_factor;
+    } else if (request.has_room && request.start_interval > time_point::duration::zero()) {
+        wait = request.start_interval * static_cast<std::int64_t>(request.waiting_before + 1);
+    }
+    return wait <= request.patience ? admission_step::wait : admission_step::refuse;
 }
 
 milliseconds plan_return(release_rate& rate, std::size_t waiting, time_point now) {
--- a/src/core/target_notice.cpp
+++ b/src/core/target_notice.cpp
@@ -15,6 +15,14 @@
 // other targets may have registered after a few seconds.
 constexpr milliseconds k_min_retry_after{200};
 constexpr milliseconds k_max_retry_after{5'000};
+// Parts of a pause over which processes and callers return after its end: the longer it was, the more wait.
+constexpr double k_process_spread = 0.25;
+constexpr double k_caller_spread = 0.5;
+constexpr milliseconds k_max_process_spread{1'000};
+
+time_point::duration part_of(time_point::duration whole, double part) {
+    return std::chrono::duration_cast<time_point::duration>(whole * part);
+}
 
 // Prepares the notice for a statement of the target that started at `started_ms`.
 void begin_statement(target_notice& notice, std::uint64_t started_ms, time_point now) {
@@ -36,9 +44,13 @@
     notice.is_leaving = true;
 }
 
-void record_pause(target_notice& notice, std::uint64_t started_ms, milliseconds pause, time_point now) {
+void record_pause(target_notice& notice, std::uint64_t started_ms, milliseconds pause, double position,
+                  time_point now) {
     begin_statement(notice, started_ms, now);
-    notice.paused_until = std::max<time_point>(notice.paused_until, now + std::min(pause, k_max_pause));
+    const auto limited = std::min(pause, k_max_pause);
+    const auto spread =
+        std::min<time_point::duration>(part_of(limited, k_process_spread), k_max_process_spread);
+    notice.paused_until = std::max(notice.paused_until, now + limited + part_of(spread, position));
 }
 
 target_availability availability_of(const target_notice& notice, const target_record& target, work_kind work,
@@ -71,8 +83,10 @@
     return end;
 }
 
-milliseconds return_after_pause(time_point end, time_point now) {
-    return std::clamp(std::chrono::ceil<milliseconds>(end - now), k_min_retry_after, k_max_retry_after);
+milliseconds return_after_pause(time_point end, double position, time_point now) {
+    const auto left = end - now;
+    const auto spread = part_of(left, k_caller_spread * position);
+    return std::clamp(std::chrono::ceil<milliseconds>(left + spread), k_min_retry_after, k_max_retry_after);
 }
 
 } // namespace lovage
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -106,7 +106,8 @@
         }
     }
     if (head.pause) {
-        record_pause(notice, started_ms, *head.pause, now);
+        const double position = std::uniform_real_distribution<double>(0.0, 1.0)(traffic.random);
+        record_pause(notice, started_ms, *head.pause, position, now);
         traffic.sink.count("gateway_target_notices", "paused");
     }
 }
@@ -221,6 +222,9 @@
         const bool is_dropped = known.count(entry->first) == 0 && is_obsolete(entry->second, now);
         entry = is_dropped ? traffic.notices.erase(entry) : std::next(entry);
     }
+    for (const auto& [service, admission] : traffic.admission) {
+        schedule_dispatch(traffic, service);
+    }
     for (const auto& [service, list] : *before->targets) {
         for (const auto& target : list) {
             const auto used = traffic.usage.find(target.id);
--- a/src/traffic/proxied_placement.cpp
+++ b/src/traffic/proxied_placement.cpp
@@ -13,8 +13,8 @@
 // Minimum cached fraction of the prompt for which a request is sent to a busier engine; a smaller one saves
 // too little prefill.
 constexpr double k_min_cached_fraction = 0.5;
-// Part of the objective for the first event that a generation may spend waiting for an engine; the rest
-// suffices to read its prompt.
+// Part of the objective that a request may spend waiting before its start; the rest suffices to serve it, for
+// a generation to read its prompt.
 constexpr double k_wait_fraction = 0.5;
 
 } // namespace
@@ -67,29 +67,41 @@
     return candidates.empty() || has_target_with_memory(candidates, placement_among(candidates));
 }
 
+bool proxied_request::needs_engine_memory() const {
+    return is_stream() && memory_capacity() > 0 && memory_tokens() > 0;
+}
+
+start_condition proxied_request::condition_to_start() {
+    return {!needs_engine_memory() || has_engine_memory(), end_of_pause(m_traffic, m_service_name, m_side)};
+}
+
 void proxied_request::start_or_wait() {
-    if (!is_stream() || memory_capacity() == 0 || memory_tokens() == 0) {
-        send(false);
-        return;
-    }
     auto& admission = m_traffic.admission[m_service_name];
-    const auto patience = fraction_of(m_route->objective, k_wait_fraction);
-    const auto step =
-        decide_admission(admission.releases, {has_engine_memory(), admission.queue.size, patience});
-    switch (step) {
+    const auto condition = condition_to_start();
+    const auto now = m_traffic.timers.now();
+    admission_request facts;
+    facts.has_room = condition.has_room;
+    facts.waiting_before = admission.queue.size;
+    facts.patience = std::min(fraction_of(m_route->objective, k_wait_fraction), time_left());
+    if (condition.pause_end) {
+        facts.pause_left = *condition.pause_end - now;
+        facts.waited_for_pause = now - admission.pausing_since.value_or(now);
+    }
+    facts.start_interval = admission.pace.interval;
+    switch (decide_admission(admission.releases, facts)) {
     case admission_step::start:
         send(false);
         break;
     case admission_step::wait:
-        wait_for_engine(patience);
+        wait_for_turn(std::chrono::ceil<milliseconds>(facts.patience));
         break;
     case admission_step::refuse:
-        refuse_for_lack_of_memory();
+        refuse_waiting();
         break;
     }
 }
 
-void proxied_request::wait_for_engine(milliseconds patience) {
+void proxied_request::wait_for_turn(milliseconds patience) {
     auto& admission = m_traffic.admission[m_service_name];
     const auto now = m_traffic.timers.now();
     queued_request place;
@@ -97,30 +109,35 @@
     place.priority = static_cast<priority>(std::clamp<std::int64_t>(m_queue_rank, 0, k_priority_count - 1));
     place.arrival = now;
     place.latest_start = now + patience;
-    m_ticket = wait_for_memory(admission, std::move(place),
-                               {[this] { return has_engine_memory(); },
-                                [self = shared_from_this()] {
-                                    self->m_ticket = 0;
-                                    cancel_timer(self->m_wait_timer);
-                                    self->m_traffic.sink.observe(
-                                        "gateway_admission_wait_seconds",
-                                        to_seconds(self->m_traffic.timers.now() - self->m_request.received));
-                                    self->send(false);
-                                }});
+    m_ticket = wait_to_start(m_traffic, m_service_name, std::move(place),
+                             {needs_engine_memory(), [this] { return condition_to_start(); },
+                              [self = shared_from_this()] {
+                                  self->m_ticket = 0;
+                                  cancel_timer(self->m_wait_timer);
+                                  self->m_traffic.sink.observe(
+                                      "gateway_admission_wait_seconds",
+                                      to_seconds(self->m_traffic.timers.now() - self->m_request.received));
+                                  self->send(false);
+                              }});
     if (m_ticket == 0) {
-        refuse_for_lack_of_memory();
+        refuse_waiting();
         return;
     }
-    log_step(log_level::info, "waiting", "no engine has memory",
-             std::to_string(admission.queue.size) + " generations wait");
+    log_step(log_level::info, "waiting",
+             admission.pausing_since ? "all targets pause" : "others wait, or no engine has memory",
+             std::to_string(admission.queue.size) + " requests wait");
     m_wait_timer = m_traffic.timers.after(patience, [self = shared_from_this()] {
         self->m_wait_timer = nullptr;
-        self->refuse_for_lack_of_memory();
+        self->refuse_waiting();
     });
 }
 
-void proxied_request::refuse_for_lack_of_memory() {
-    refuse(error_kind::overloaded, "no engine of " + m_service_name + " has memory in time");
+void proxied_request::refuse_waiting() {
+    if (!needs_engine_memory() || end_of_pause(m_traffic, m_service_name, m_side)) {
+        refuse(error_kind::target_busy, "no target of " + m_service_name + " accepts the request in time");
+    } else {
+        refuse(error_kind::overloaded, "no engine of " + m_service_name + " has memory in time");
+    }
 }
 
 std::uint64_t proxied_request::memory_tokens() const {
@@ -187,7 +204,11 @@
     log_step(log_level::info, "prompt_looked_for", is_found ? m_prompt_search.target_id : "not_found",
              std::to_string(m_prompt_search.tokens) + " tokens kept of " +
                  std::to_string(m_request.prompt_tokens));
-    send(false);
+    if (end_of_pause(m_traffic, m_service_name, m_side)) {
+        start_or_wait();
+    } else {
+        send(false);
+    }
 }
 
 } // namespace lovage
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -363,7 +363,11 @@
     case error_kind::no_target:
     case error_kind::target_busy: {
         const auto end = end_of_pause(m_traffic, m_service_name, m_side);
-        return end ? return_after_pause(*end, m_traffic.timers.now()) : k_retry_after;
+        if (!end) {
+            return k_retry_after;
+        }
+        const double position = std::uniform_real_distribution<double>(0.0, 1.0)(m_traffic.random);
+        return return_after_pause(*end, position, m_traffic.timers.now());
     }
     case error_kind::leaving:
         return shutdown_retry_after(m_traffic);
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -164,6 +164,7 @@
             now = std::max(now, m_timers.begin()->first.first);
             const auto callback = std::move(m_timers.begin()->second);
             m_timers.erase(m_timers.begin());
+            ++expired_timers;
             callback();
         }
         now = end;
@@ -175,6 +176,8 @@
 
     /// Whether timers fire although they were cancelled, as a port that breaks its contract would let them.
     bool ignores_cancellation = false;
+    /// Number of timers that have expired.
+    std::size_t expired_timers = 0;
     std::uint64_t max_output_tokens = 1'000;
     std::vector<prompt_part> prompt{{"shared", 200}, {"own", 7'800}};
     time_point now{std::chrono::seconds(100)};
--- a/tests/unit/admission_wait_test.cpp
+++ b/tests/unit/admission_wait_test.cpp
@@ -41,6 +41,73 @@
     CHECK(decide_admission(with_interval(test.interval_ms), test.request) == test.step);
 }
 
+struct pause_case {
+    const char* name;
+    bool has_room;
+    std::size_t waiting_before;
+    /// Negative if there is no pause.
+    milliseconds pause_left;
+    milliseconds waited_for_pause;
+    milliseconds start_interval;
+    admission_step step;
+};
+
+// Guards against requests that are refused although the pause of all targets ends in time, that wait for one
+// that does not, or that overtake those that have waited for its end.
+TEST_CASE("a request waits for the end of a pause only if it can start in time") {
+    const milliseconds none(-1);
+    const milliseconds patience(2'000);
+    const auto ms = [](int time) { return milliseconds(time); };
+    const auto test = GENERATE_COPY(from_range(std::vector<pause_case>{
+        {"short pause", true, 0, ms(300), ms(0), ms(0), admission_step::wait},
+        {"just in time", true, 0, ms(2'000), ms(0), ms(0), admission_step::wait},
+        {"too long", true, 0, ms(2'001), ms(0), ms(0), admission_step::refuse},
+        {"others start first", true, 9, ms(1'500), ms(1'000), ms(0), admission_step::wait},
+        {"too many start first", true, 9, ms(1'501), ms(1'000), ms(0), admission_step::refuse},
+        {"after the pause", true, 3, none, ms(0), ms(500), admission_step::wait},
+        {"after the pause, too many", true, 4, none, ms(0), ms(500), admission_step::refuse},
+        {"after the pause, nobody waits", true, 0, none, ms(0), ms(500), admission_step::start},
+        {"after the pause, no memory", false, 4, none, ms(0), ms(10), admission_step::refuse},
+    }));
+    CAPTURE(test.name);
+    admission_request request;
+    request.has_room = test.has_room;
+    request.waiting_before = test.waiting_before;
+    request.patience = patience;
+    if (test.pause_left >= milliseconds(0)) {
+        request.pause_left = test.pause_left;
+    }
+    request.waited_for_pause = test.waited_for_pause;
+    request.start_interval = test.start_interval;
+    CHECK(decide_admission(with_interval(500.0), request) == test.step);
+}
+
+struct pace_case {
+    const char* name;
+    std::size_t waiting;
+    milliseconds waited;
+    std::chrono::microseconds interval;
+};
+
+// Guards against all requests of a pause that start at its end in one moment.
+TEST_CASE("requests that waited for a pause start at twice the rate at which they arrived") {
+    const auto test = GENERATE(from_range(std::vector<pace_case>{
+        {"none", 0, milliseconds(0), std::chrono::microseconds(0)},
+        {"one", 1, milliseconds(500), std::chrono::microseconds(250'000)},
+        {"some", 20, milliseconds(1'000), std::chrono::microseconds(25'000)},
+        {"at one moment", 20, milliseconds(0), std::chrono::microseconds(100)},
+    }));
+    CAPTURE(test.name);
+    auto pace = plan_starts(test.waiting, test.waited, at_ms(10'000));
+    CHECK(pace.interval == test.interval);
+    for (std::size_t i = 0; i < test.waiting; ++i) {
+        CHECK(pace.next == at_ms(10'000) + test.interval * static_cast<int>(i));
+        CHECK(pace.left == test.waiting - i);
+        record_paced_start(pace, i + 1 == test.waiting);
+    }
+    CHECK(pace.interval == time_point::duration::zero());
+}
+
 // Guards against refused callers that all return at the same time, or before those that wait here.
 TEST_CASE("refused callers return one by one as room comes free") {
     auto rate = with_interval(400.0);
