Tell peers that a target is leaving

Cause: each process heard of a target's leaving only in an answer to a request of its own. Change: peer reports carry the targets that said so to the sender, with their start, in an optional field that processes of the version before ignore. The receiver takes it only for the start that its own entry has, and does not pass it on; targets without an entry are ignored, which bounds the memory. Pauses are not told (docs/decisions/target-notices.md). Tests: "peers hear that a target leaves, for its present start only" (38 and 300 processes), the round trip of a report.

--- a/include/lovage/core/peer_report.h
+++ b/include/lovage/core/peer_report.h
@@ -33,6 +33,13 @@
     std::uint64_t number = 0;
 };
 
+/// A target that told the sender that it is leaving. A hint: it concerns only the start that it names.
+struct peer_leaving_target {
+    std::string target_id;
+    /// `target_record::started_ms` of the target.
+    std::uint64_t started_ms = 0;
+};
+
 /// A `prompt_crash` that the sender knows of; `age` is the time since then.
 struct peer_prompt_crash {
     std::uint64_t id = 0;
@@ -62,6 +69,7 @@
     std::uint64_t newest_change = 0;
     std::vector<peer_usage> usage;
     std::vector<peer_target_failure> target_failures;
+    std::vector<peer_leaving_target> leaving_targets;
     /// Cumulative evidence on versions since the sender's start, and the ids of vetoed moves that it knows.
     std::vector<route_evidence> evidence;
     std::vector<std::string> vetoes;
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -125,6 +125,11 @@
 /// Applies a target failure that another process has reported.
 void apply_peer_failure(gateway_traffic& traffic, const peer_target_failure& failure);
 
+/// Applies a hint of another process that a target is leaving. Ignores a hint about another start than the
+/// target's present one, and about targets without an entry, which bounds the memory.
+void apply_peer_leaving(gateway_traffic& traffic, const peer_leaving_target& leaving,
+                        const std::string& reported_by);
+
 /// Returns this process's share of the retry budget, which all gateway processes share.
 retry_window_limits retry_share(const gateway_traffic& traffic);
 
--- a/include/lovage/traffic/peer_exchange.h
+++ b/include/lovage/traffic/peer_exchange.h
@@ -55,6 +55,7 @@
     time_point load_summed{};
     bool is_load_outdated = true;
     std::deque<std::pair<time_point, peer_target_failure>> target_failures;
+    std::deque<std::pair<time_point, peer_leaving_target>> leaving_targets;
 };
 
 /// Sends a report now and then periodically as a heartbeat.
@@ -66,6 +67,9 @@
 /// Adds a target failure to the next reports and schedules one.
 void add_failure_to_reports(gateway_traffic& traffic, peer_target_failure failure);
 
+/// Adds a target that is leaving to the next reports and schedules one.
+void add_leaving_to_reports(gateway_traffic& traffic, peer_leaving_target leaving);
+
 /// Applies a report of another process. Ignores its own and outdated ones.
 void apply_peer_report(gateway_traffic& traffic, peer_report report);
 
--- a/src/adapters/gateway/peer_report_udp.cpp
+++ b/src/adapters/gateway/peer_report_udp.cpp
@@ -60,6 +60,14 @@
     return failure;
 }
 
+json to_json(const peer_leaving_target& leaving) {
+    return json::array({leaving.target_id, leaving.started_ms});
+}
+
+peer_leaving_target leaving_of(const json& row) {
+    return {row.at(0).get<std::string>(), row.at(1).get<std::uint64_t>()};
+}
+
 json to_json(const peer_prompt_crash& crash) {
     return json::array({crash.id, crash.service, crash.target_id, crash.parts, crash.age.count()});
 }
@@ -97,6 +105,9 @@
         document["c"] = to_list(report.crashes);
         document["o"] = to_list(report.successes);
     }
+    if (!report.leaving_targets.empty()) {
+        document["g"] = to_list(report.leaving_targets);
+    }
     const auto bytes = json::to_cbor(document);
     return {bytes.begin(), bytes.end()};
 }
@@ -120,15 +131,18 @@
         // Processes of earlier versions do not send them, and reports without crashes have neither.
         const auto crashes = document.value("c", json::array());
         const auto successes = document.value("o", json::array());
-        if (crashes.size() > k_max_entries || successes.size() > k_max_entries ||
-            usage.size() > k_max_entries || target_failures.size() > k_max_entries ||
-            evidence.size() > k_max_entries || report.vetoes.size() > k_max_entries ||
-            report.peers.size() > k_max_entries) {
+        const auto leaving = document.value("g", json::array());
+        if (leaving.size() > k_max_entries || crashes.size() > k_max_entries ||
+            successes.size() > k_max_entries || usage.size() > k_max_entries ||
+            target_failures.size() > k_max_entries || evidence.size() > k_max_entries ||
+            report.vetoes.size() > k_max_entries || report.peers.size() > k_max_entries) {
             return std::nullopt;
         }
         std::transform(usage.begin(), usage.end(), std::back_inserter(report.usage), usage_of);
         std::transform(target_failures.begin(), target_failures.end(),
                        std::back_inserter(report.target_failures), failure_of);
+        std::transform(leaving.begin(), leaving.end(), std::back_inserter(report.leaving_targets),
+                       leaving_of);
         std::transform(evidence.begin(), evidence.end(), std::back_inserter(report.evidence), evidence_of);
         std::transform(crashes.begin(), crashes.end(), std::back_inserter(report.crashes), crash_of);
         std::transform(successes.begin(), successes.end(), std::back_inserter(report.successes), success_of);
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -77,6 +77,22 @@
     return candidates;
 }
 
+// Returns whether this process did not know it. `reported_by` is the peer that knew, empty for none.
+bool note_leaving(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
+                  const std::string& reported_by) {
+    auto& notice = traffic.notices[target_id];
+    const bool is_new = !notice.is_leaving || has_started_anew(notice.started_ms, started_ms);
+    record_leaving(notice, started_ms, traffic.timers.now());
+    if (is_new) {
+        traffic.sink.log(log_level::info, "target_leaving",
+                         {{"target", target_id},
+                          {"started_ms", std::to_string(started_ms)},
+                          {"reported_by", reported_by},
+                          {"view", std::to_string(traffic.view->sequence)}});
+    }
+    return is_new;
+}
+
 } // namespace
 
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
@@ -92,14 +108,9 @@
     const auto now = traffic.timers.now();
     auto& notice = traffic.notices[target_id];
     if (head.is_leaving) {
-        const bool is_new = !notice.is_leaving || has_started_anew(notice.started_ms, started_ms);
-        record_leaving(notice, started_ms, now);
         traffic.sink.count("gateway_target_notices", "leaving");
-        if (is_new) {
-            traffic.sink.log(log_level::info, "target_leaving",
-                             {{"target", target_id},
-                              {"started_ms", std::to_string(started_ms)},
-                              {"view", std::to_string(traffic.view->sequence)}});
+        if (note_leaving(traffic, target_id, started_ms, "") && started_ms != 0) {
+            add_leaving_to_reports(traffic, {target_id, started_ms});
         }
         if (target != nullptr) {
             close_connections_if_leaving(traffic, *target);
@@ -161,6 +172,23 @@
     }
 }
 
+void apply_peer_leaving(gateway_traffic& traffic, const peer_leaving_target& leaving,
+                        const std::string& reported_by) {
+    const auto known = traffic.notices.find(leaving.target_id);
+    if (known != traffic.notices.end() && known->second.is_leaving &&
+        known->second.started_ms == leaving.started_ms) {
+        return;
+    }
+    const auto* target = find_target(traffic, leaving.target_id);
+    if (target == nullptr || leaving.started_ms == 0 || target->started_ms != leaving.started_ms) {
+        traffic.sink.count("gateway_target_notices", "outdated_hint");
+        return;
+    }
+    note_leaving(traffic, leaving.target_id, leaving.started_ms, reported_by);
+    traffic.sink.count("gateway_target_notices", "leaving_hint");
+    close_connections_if_leaving(traffic, *target);
+}
+
 shutdown_phase current_shutdown_phase(const gateway_traffic& traffic) {
     if (!traffic.shutdown_requested_at) {
         return shutdown_phase::serving;
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -22,6 +22,7 @@
 // Limits on the items in a report, which must fit into one datagram.
 constexpr std::size_t k_max_usage_items = 120;
 constexpr std::size_t k_max_failures = 24;
+constexpr std::size_t k_max_leaving_targets = 12;
 constexpr std::size_t k_max_peers = 12;
 // Addresses in the report that welcomes a process which knows few others yet.
 constexpr std::size_t k_max_welcome_peers = 120;
@@ -41,6 +42,19 @@
     }
 }
 
+// Drops the events before `oldest` and returns the others.
+template <class Event>
+std::vector<Event> events_since(std::deque<std::pair<time_point, Event>>& events, time_point oldest) {
+    while (!events.empty() && events.front().first < oldest) {
+        events.pop_front();
+    }
+    std::vector<Event> recent;
+    for (const auto& [at, event] : events) {
+        recent.push_back(event);
+    }
+    return recent;
+}
+
 std::vector<peer_usage> usage_items(gateway_traffic& traffic) {
     std::vector<peer_usage> items;
     for (const auto& [id, usage] : traffic.usage) {
@@ -89,13 +103,9 @@
     report.newest_change = traffic.view->newest_change;
     report.usage = usage_items(traffic);
     const auto now = traffic.timers.now();
-    while (!exchange.target_failures.empty() &&
-           now - exchange.target_failures.front().first > event_repeat_period(exchange.peers.size())) {
-        exchange.target_failures.pop_front();
-    }
-    for (const auto& [at, failure] : exchange.target_failures) {
-        report.target_failures.push_back(failure);
-    }
+    const auto oldest = now - event_repeat_period(exchange.peers.size());
+    report.target_failures = events_since(exchange.target_failures, oldest);
+    report.leaving_targets = events_since(exchange.leaving_targets, oldest);
     if (is_evaluating_version(traffic)) {
         report.evidence = traffic.versions.evidence.report().items;
         limit_items(traffic, report.evidence, k_max_evidence_items, "evidence");
@@ -211,6 +221,16 @@
     schedule_report(traffic);
 }
 
+void add_leaving_to_reports(gateway_traffic& traffic, peer_leaving_target leaving) {
+    auto& leaving_targets = traffic.peers.leaving_targets;
+    leaving_targets.emplace_back(traffic.timers.now(), std::move(leaving));
+    if (leaving_targets.size() > k_max_leaving_targets) {
+        traffic.sink.count("gateway_report_lists_shortened", "leaving_targets");
+        leaving_targets.pop_front();
+    }
+    schedule_report(traffic);
+}
+
 void apply_peer_report(gateway_traffic& traffic, peer_report report) {
     auto& exchange = traffic.peers;
     if (report.node == exchange.node || report.node.empty() || report.address == exchange.address) {
@@ -259,6 +279,9 @@
         exchange.port.send(peer.report.address, make_report(traffic, k_max_welcome_peers));
     }
     apply_prompt_crashes(traffic, peer.report);
+    for (const auto& leaving : peer.report.leaving_targets) {
+        apply_peer_leaving(traffic, leaving, peer.report.node);
+    }
     for (const auto& failure : new_failures) {
         apply_peer_failure(traffic, failure);
     }
--- a/tests/unit/peer_exchange_test.cpp
+++ b/tests/unit/peer_exchange_test.cpp
@@ -137,6 +137,65 @@
     CHECK(informed == net.size());
 }
 
+// Gives target "t1" of the fake gateway a start time.
+void set_start(fake_gateway& gateway, std::uint64_t started_ms) {
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    auto targets = std::make_shared<std::map<std::string, target_list>>(*view->targets);
+    (*targets)["service"].front().started_ms = started_ms;
+    view->targets = targets;
+    apply_view(gateway.traffic, view);
+}
+
+struct hint_case {
+    const char* name;
+    int processes;
+    /// Start of the target in the view of the process that hears it, and in those of the others; 0 if
+    /// unknown.
+    std::uint64_t heard_start_ms;
+    std::uint64_t start_ms;
+    bool is_known_to_others;
+    bool accepts;
+};
+
+// Guards against a fleet that keeps sending work to a target that leaves, and against a hint about an earlier
+// start of a target, or about a target without an entry, that takes out a new one or fills the memory.
+TEST_CASE("peers hear that a target leaves, for its present start only") {
+    const auto test = GENERATE(from_range(std::vector<hint_case>{
+        {"same start, 38", 38, 7, 7, true, false},
+        {"same start, 300", 300, 7, 7, true, false},
+        {"started anew", 5, 7, 8, true, true},
+        {"not restarted yet in the view", 5, 8, 7, true, true},
+        {"start unknown", 5, 0, 0, true, true},
+        {"not known to the others", 5, 7, 7, false, true},
+    }));
+    CAPTURE(test.name);
+    peer_network net(test.processes);
+    net.run(milliseconds(8'000));
+    for (std::size_t i = 0; i < net.size(); ++i) {
+        if (i == 0 || test.is_known_to_others) {
+            net.at(i).publish(request_kind::idempotent, 2, 1);
+            set_start(net.at(i), i == 0 ? test.heard_start_ms : test.start_ms);
+        }
+    }
+    auto head = fake_gateway::head(200);
+    head.is_leaving = true;
+    record_notices(net.at(0).traffic, "t1", test.heard_start_ms, head);
+    net.run(milliseconds(7'000));
+    std::size_t accepting = 0;
+    for (std::size_t i = 1; i < net.size(); ++i) {
+        auto& traffic = net.at(i).traffic;
+        if (!test.is_known_to_others) {
+            net.at(i).publish(request_kind::idempotent, 2, 1);
+            set_start(net.at(i), test.start_ms);
+        }
+        accepting += find_ready_target(traffic, "service", "t1") != nullptr ? 1 : 0;
+        CHECK(traffic.notices.size() == (test.accepts ? 0 : 1));
+    }
+    CHECK(accepting == (test.accepts ? net.size() - 1 : 0));
+    net.run(milliseconds(25));
+    CHECK(net.at(0).traffic.peers.leaving_targets.empty());
+}
+
 // Guards against targets whose load is never reported because a report cannot hold all of them.
 TEST_CASE("load that does not fit into one report is in the next ones") {
     peer_network net(2);
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -234,6 +234,7 @@
     report.peers = {"10.0.0.2:7"};
     report.evidence = {{"s", "v2", "r", 9, 1, 2, 3}};
     report.vetoes = {"s@7"};
+    report.leaving_targets = {{"t3", 8}};
     const auto bytes = encode_report(report);
     const auto read = decode_report(bytes);
     REQUIRE(read);
@@ -241,6 +242,8 @@
     CHECK(read->target_failures.at(0).failure_kind == target_failure_kind::replaced);
     CHECK(read->evidence.at(0).slow_gaps == 3);
     CHECK(read->vetoes == report.vetoes);
+    CHECK(read->leaving_targets.at(0).target_id == "t3");
+    CHECK(read->leaving_targets.at(0).started_ms == 8);
     for (std::size_t size = 0; size < bytes.size(); ++size) {
         CHECK_FALSE(decode_report(bytes.substr(0, size)));
     }
