Decide on odd values of the notices and report them

Cause: "2026-12-05" was read as a pause of 2,026 s and "2s" as 2 s; of several fields only the first counted; values that could not be read left no trace; a pause had no log line, and nothing named the targets that are out.

--- a/include/lovage/core/target_notice.h
+++ b/include/lovage/core/target_notice.h
@@ -18,6 +18,9 @@
     bool is_leaving = false;
     /// The target wants no requests until then.
     time_point paused_until{};
+    /// Whether the pause, and a statement that could not be read, have been logged.
+    bool is_pause_logged = false;
+    bool is_invalid_logged = false;
     /// When the notice was last updated.
     time_point recorded{};
 };
@@ -69,6 +72,9 @@
 void record_pause(target_notice& notice, std::uint64_t started_ms, milliseconds pause, double position,
                   time_point now);
 
+/// Records a statement of the target that started at `started_ms` which could not be read.
+void record_invalid(target_notice& notice, std::uint64_t started_ms, time_point now);
+
 /// Whether the starts are known and differ.
 bool has_started_anew(std::uint64_t noticed_ms, std::uint64_t started_ms);
 /// Whether the notice of a target that has no entry can be dropped.
--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -93,6 +93,9 @@
     bool is_leaving = false;
     /// How long the target wants no further requests from this process, if it states so in a refusal.
     std::optional<milliseconds> pause;
+    /// Whether the header field that states one of them has a value that could not be read.
+    bool has_invalid_leaving = false;
+    bool has_invalid_pause = false;
     std::optional<reported_load> load;
 };
 
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -109,6 +109,20 @@
 target_availability availability_of(const gateway_traffic& traffic, const target_record& target,
                                     work_kind work);
 
+/// Logs that a target which paused gets requests again.
+void log_end_of_pause(gateway_traffic& traffic, const target_record& target);
+
+/// A target that gets no new work.
+struct target_status {
+    target_record target;
+    acceptance state = acceptance::paused;
+    /// Time until the end of its pause; 0 if it is leaving.
+    milliseconds left{0};
+};
+
+/// Returns the registered targets that get no new work of this process now.
+std::vector<target_status> withheld_targets(const gateway_traffic& traffic);
+
 /// Closes the idle connections to a target that is leaving.
 void close_connections_if_leaving(gateway_traffic& traffic, const target_record& target);
 
--- a/src/core/target_notice.cpp
+++ b/src/core/target_notice.cpp
@@ -53,6 +53,10 @@
     notice.paused_until = std::max(notice.paused_until, now + limited + part_of(spread, position));
 }
 
+void record_invalid(target_notice& notice, std::uint64_t started_ms, time_point now) {
+    begin_statement(notice, started_ms, now);
+}
+
 target_availability availability_of(const target_notice& notice, const target_record& target, work_kind work,
                                     time_point now) {
     const bool is_current = !has_started_anew(notice.started_ms, target.started_ms);
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -9,12 +9,14 @@
 #include "lovage/adapters/gateway/peer_report_udp.h"
 #include "lovage/adapters/gateway/status_server.h"
 #include "lovage/adapters/gateway/target_pool.h"
+#include "lovage/adapters/gateway/target_status_document.h"
 #include "lovage/adapters/log.h"
 #include "lovage/adapters/metrics.h"
 #include "lovage/adapters/program.h"
 #include "lovage/control/gateway_control.h"
 #include "lovage/traffic/proxied_request.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -149,9 +151,19 @@
                       std::chrono::duration<double>(boot_now() - view.table_confirmed).count());
         m_metrics.set("gateway_requests_in_progress", static_cast<double>(m_traffic.requests.size()));
         m_metrics.set("gateway_caller_connections", static_cast<double>(m_callers->connections()));
+        const auto withheld = withheld_targets(m_traffic);
+        for (const auto state : {acceptance::paused, acceptance::leaving}) {
+            const auto count = std::count_if(withheld.begin(), withheld.end(),
+                                             [state](const auto& target) { return target.state == state; });
+            m_metrics.set("gateway_targets_withheld", static_cast<double>(count),
+                          {{"reason", std::string(name_of(k_acceptance_names, state))}});
+        }
         m_metrics.set("log_lines_dropped", static_cast<double>(dropped_log_lines()));
         return {200, "text/plain; version=0.0.4", m_metrics.to_text()};
     }
+    if (path == "/status") {
+        return {200, "application/json", encode_target_status(m_settings.node, withheld_targets(m_traffic))};
+    }
     const bool ready = is_ready();
     if (ready != std::exchange(m_was_ready, ready)) {
         log_event(log_level::info, ready ? "ready" : "not_ready",
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -77,6 +77,17 @@
     return candidates;
 }
 
+void log_notice(const gateway_traffic& traffic, std::string_view event, const std::string& target_id,
+                const target_notice& notice, std::vector<log_field> fields) {
+    fields.insert(fields.begin(), {{"target", target_id}, {"started_ms", std::to_string(notice.started_ms)}});
+    fields.push_back({"view", std::to_string(traffic.view->sequence)});
+    traffic.sink.log(log_level::info, event, fields);
+}
+
+std::string left_ms(const target_notice& notice, time_point now) {
+    return std::to_string(std::chrono::ceil<milliseconds>(notice.paused_until - now).count());
+}
+
 // Returns whether this process did not know it. `reported_by` is the peer that knew, empty for none.
 bool note_leaving(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
                   const std::string& reported_by) {
@@ -84,11 +95,7 @@
     const bool is_new = !notice.is_leaving || has_started_anew(notice.started_ms, started_ms);
     record_leaving(notice, started_ms, traffic.timers.now());
     if (is_new) {
-        traffic.sink.log(log_level::info, "target_leaving",
-                         {{"target", target_id},
-                          {"started_ms", std::to_string(started_ms)},
-                          {"reported_by", reported_by},
-                          {"view", std::to_string(traffic.view->sequence)}});
+        log_notice(traffic, "target_leaving", target_id, notice, {{"reported_by", reported_by}});
     }
     return is_new;
 }
@@ -97,7 +104,8 @@
 
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
                     const answer_head& head) {
-    if (!head.is_leaving && !head.pause) {
+    const bool has_invalid = head.has_invalid_leaving || head.has_invalid_pause;
+    if (!head.is_leaving && !head.pause && !has_invalid) {
         return;
     }
     const auto* target = find_target(traffic, target_id);
@@ -120,7 +128,47 @@
         const double position = std::uniform_real_distribution<double>(0.0, 1.0)(traffic.random);
         record_pause(notice, started_ms, *head.pause, position, now);
         traffic.sink.count("gateway_target_notices", "paused");
+        if (!std::exchange(notice.is_pause_logged, true)) {
+            log_notice(
+                traffic, "target_paused", target_id, notice,
+                {{"asked_ms", std::to_string(head.pause->count())}, {"left_ms", left_ms(notice, now)}});
+        }
+    }
+    if (has_invalid) {
+        record_invalid(notice, started_ms, now);
+        traffic.sink.count("gateway_target_notices",
+                           head.has_invalid_pause ? "invalid_pause" : "invalid_leaving");
+        if (!std::exchange(notice.is_invalid_logged, true)) {
+            log_notice(traffic, "target_notice_invalid", target_id, notice,
+                       {{"field", head.has_invalid_pause ? "pause" : "leaving"}});
+        }
+    }
+}
+
+void log_end_of_pause(gateway_traffic& traffic, const target_record& target) {
+    const auto found = traffic.notices.find(target.id);
+    if (found != traffic.notices.end() && traffic.timers.now() >= found->second.paused_until &&
+        std::exchange(found->second.is_pause_logged, false)) {
+        log_notice(traffic, "target_resumed", target.id, found->second, {});
+    }
+}
+
+std::vector<target_status> withheld_targets(const gateway_traffic& traffic) {
+    std::vector<target_status> withheld;
+    if (!traffic.view->targets) {
+        return withheld;
+    }
+    const auto now = traffic.timers.now();
+    for (const auto& [service, list] : *traffic.view->targets) {
+        for (const auto& target : list) {
+            const auto found = availability_of(traffic, target, work_kind::new_work);
+            if (found.state != acceptance::accepting) {
+                const auto left = found.state == acceptance::paused ? found.until - now : milliseconds(0);
+                withheld.push_back({target, found.state, std::chrono::ceil<milliseconds>(left)});
+            }
+        }
     }
+    return withheld;
 }
 
 target_availability availability_of(const gateway_traffic& traffic, const target_record& target,
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -129,6 +129,7 @@
         refuse(error_kind::no_target, "no usable target of " + m_service_name);
         return;
     }
+    log_end_of_pause(m_traffic, *record);
     attempt next;
     next.number = ++m_attempts;
     next.target = *record;
--- a/tests/unit/target_notice_test.cpp
+++ b/tests/unit/target_notice_test.cpp
@@ -622,6 +622,48 @@
     CHECK(gateway.closed_addresses == std::vector<std::string>{address, address, address});
 }
 
+struct log_case {
+    const char* name;
+    std::vector<answer_head> heads;
+    std::vector<std::string> events;
+};
+
+answer_head invalid_statement() {
+    auto head = fake_gateway::head(503);
+    head.is_not_run = true;
+    head.has_invalid_pause = true;
+    return head;
+}
+
+// Guards against a target that takes itself out unnoticed, and against a log line for each of its answers.
+TEST_CASE("changes of what a target accepts are logged once") {
+    const auto leaving = statement(true, milliseconds(0));
+    const auto paused = statement(false, milliseconds(500));
+    const auto test = GENERATE_COPY(from_range(std::vector<log_case>{
+        {"leaving", {leaving, leaving}, {"target_leaving"}},
+        {"paused", {paused, paused}, {"target_paused", "target_resumed"}},
+        {"invalid", {invalid_statement(), invalid_statement()}, {"target_notice_invalid"}},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    std::vector<std::string> events;
+    gateway.traffic.sink.log = [&events](log_level, std::string_view event, const std::vector<log_field>&) {
+        if (event.substr(0, 7) == "target_") {
+            events.emplace_back(event);
+        }
+    };
+    gateway.publish(request_kind::idempotent, 2, 1);
+    for (const auto& head : test.heads) {
+        record_notices(gateway.traffic, "t1", 0, head);
+    }
+    const auto withheld = withheld_targets(gateway.traffic);
+    CHECK(withheld.size() == (test.heads.front().has_invalid_pause ? 0 : 1));
+    gateway.advance(milliseconds(1'000));
+    const auto first = gateway.request();
+    const auto second = gateway.request();
+    CHECK(events == test.events);
+}
+
 } // namespace
 
 } // namespace lovage
