Test the notices of targets with processes, and describe them

The stand-ins can say that they leave, and refuse with a Retry-After at a moment, by share and with odd values. Process tests: kept connections in use, a restart under the same id, peers, half of the engines leaving under load, retries crossing, waiting for a short pause, a freeze of the process around the end of a pause, resume beside paused engines, values that cannot be read.

--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -144,6 +144,163 @@
     return case
 
 
+async def read_until_reached(f, server, port):
+    """Sends reads until one reaches the server, and waits for its answer."""
+    before = len(server.arrivals)
+    for _ in range(60):
+        outcome = await call(port, "read")
+        if len(server.arrivals) > before:
+            return outcome
+    raise AssertionError(f"no read reached {server.id}")
+
+
+async def leaving_server_gets_no_new_work(f):
+    """Guards against requests on kept connections to a server that says it leaves, at any gateway, while its entry is ready,
+    and against a server that starts again under its id and gets none."""
+    leaving = f.world.plain[0]
+    await asyncio.gather(*[call(f.port, "read") for _ in range(30)])
+    check(leaving.writers, "no kept connection")
+    leaving.is_leaving = True
+    check_complete(await read_until_reached(f, leaving, f.port))
+    heard_at = time.monotonic()
+    leaving.register()  # a newer entry of the same start
+    await wait_until(lambda: not leaving.writers, 1.0, "connections to the leaving server stay open")
+    for gateway in f.gateways:
+        for outcome in await asyncio.gather(*[call(gateway.port, "read") for _ in range(20)]):
+            check_complete(outcome)
+    check(leaving.arrived_since(heard_at) == 0, "a leaving server got new work")
+    status = (await get(f.gateways[1].metrics_port, "/status"))[1]
+    check(leaving.id in status and '"leaving"' in status, status)
+    await leaving.stop()
+    await leaving.restart(keeps_id=True)
+    await asyncio.sleep(0.5)
+    await read_until_reached(f, leaving, f.port)
+
+
+async def half_of_the_engines_leave_under_load(f):
+    """Guards against streams that are cut or that start at engines which leave."""
+    streams = [asyncio.create_task(call(f.port, "stream")) for _ in range(18)]
+    await asyncio.sleep(0.3)
+    leaving = f.world.engines[:3]
+    for engine in leaving:
+        engine.is_leaving = True
+    more = [asyncio.create_task(call(f.port, "stream")) for _ in range(18)]
+    # The engines' heads have arrived after the prefill.
+    await asyncio.sleep(0.4)
+    heard_at = time.monotonic()
+    more += [asyncio.create_task(call(f.port, "stream")) for _ in range(18)]
+    for outcome in await asyncio.gather(*streams, *more):
+        check_complete(outcome)
+    check(sum(e.arrived_since(heard_at) for e in leaving) == 0, "leaving engines got new work")
+
+
+async def paused_server_gets_no_requests(f):
+    """Guards against first sends and retries that reach a server which has asked for a pause."""
+    paused = f.world.plain[0]
+    paused.refuse_for(1.5)
+    check_complete(await read_until_reached(f, paused, f.port))
+    heard_at = time.monotonic()
+    end = paused.refuse_until
+    while time.monotonic() < end - 0.3:
+        for outcome in await asyncio.gather(*[call(f.port, "read") for _ in range(10)]):
+            check_complete(outcome)
+    check(paused.arrived_since(heard_at) == 0, "a paused server got requests")
+    status = (await get(f.gateways[0].metrics_port, "/status"))[1]
+    check(paused.id in status and '"paused"' in status, status)
+    await asyncio.sleep(1.0)
+    await read_until_reached(f, paused, f.port)
+
+
+async def requests_in_flight_when_a_pause_begins(f):
+    """Guards against requests that are lost, or are sent to the paused server again, when many get the refusal at once."""
+    paused = f.world.plain[0]
+    paused.refuse_for(1.0)
+    for outcome in await asyncio.gather(*[call(f.port, "read") for _ in range(30)]):
+        check_complete(outcome)
+    check(paused.arrivals, "no read reached the server")
+    first = paused.arrivals[0]
+    check(paused.arrived_since(first + 0.2) == 0, f"{paused.arrived_since(first + 0.2)} requests during the pause")
+
+
+async def requests_wait_for_a_short_pause(f):
+    """Guards against requests that are refused although all servers accept them again in time, and against requests that are
+    held while they do not."""
+    for server in f.world.plain:
+        server.refuse_for(3.0)
+    first = await call(f.port, "read")
+    check(first.status == 503, f"status {first.status}")
+    heard_at = time.monotonic()
+    refused = await asyncio.gather(*[call(f.port, "publish") for _ in range(10)])
+    check(time.monotonic() - heard_at < 0.25, "refusals came late")
+    for outcome in refused:
+        check(outcome.status == 503 and float(outcome.headers["retry-after"]) > 2.5, f"{outcome.headers}")
+    check(sum(s.arrived_since(heard_at) for s in f.world.plain) == 0, "paused servers got requests")
+    # The pause lasts up to a quarter longer than the servers asked for.
+    await asyncio.sleep(4.0)
+    for server in f.world.plain:
+        server.refuse_for(0.1)
+    first = await call(f.port, "read")
+    for outcome in await asyncio.gather(*[call(f.port, "publish") for _ in range(5)]):
+        check_complete(outcome)
+
+
+async def process_is_frozen_at_the_end_of_a_pause(f):
+    """Guards against requests that a process sends before the end of a pause, or never, after it stood still around it."""
+    for server in f.world.plain:
+        server.refuse_for(1.0)
+    check((await call(f.port, "read")).status == 503, "not refused")
+    end, heard_at = f.world.plain[0].refuse_until, time.monotonic()
+    await asyncio.sleep(0.85)
+    waiting = [asyncio.create_task(call(f.port, "read")) for _ in range(5)]
+    await asyncio.sleep(0.03)
+    f.gateways[0].signal(signal.SIGSTOP)
+    await asyncio.sleep(0.6)
+    f.gateways[0].signal(signal.SIGCONT)
+    for outcome in await asyncio.gather(*waiting):
+        check(outcome.status in (200, 503), f"{outcome.status} {outcome.detail}")
+    for outcome in await asyncio.gather(*[call(f.port, "read") for _ in range(5)]):
+        check_complete(outcome)
+    early = [a for s in f.world.plain for a in s.arrivals if heard_at < a < end]
+    check(not early, f"{len(early)} requests during the pause")
+
+
+async def stream_resumes_beside_paused_engines(f):
+    """Guards against a stream that is lost, or resumed at an engine that has asked for a pause, when its engine crashes."""
+    running = []
+
+    async def on_event(outcome):
+        if len(outcome.body) > 300 and not running:
+            running.append(f.engine_of(outcome))
+            others = [e for e in f.world.engines if e is not running[0]]
+            for engine in others[1:]:
+                engine.refuse_for(3.0)
+            while not all(e.arrivals and e.arrivals[-1] > e.refuse_until - 3.0 for e in others[1:]):
+                await asyncio.gather(*[call(f.port, "stream", timeout_s=0.05) for _ in range(4)])
+            check(outcome.request_id in running[0].active, "the stream ended before its engine did")
+            running.append(time.monotonic())
+            await running[0].stop()
+
+    outcome = await call(f.port, "stream", on_event=on_event)
+    check_complete(outcome)
+    check(len(running) == 2, "the stream was not broken")
+    paused = [e for e in f.world.engines if e.refuse_until > 0]
+    arrived = sum(e.arrived_since(running[1] + 0.05) for e in paused)
+    check(arrived == 0, f"{arrived} requests at paused engines")
+
+
+async def unreadable_pause_is_reported(f):
+    """Guards against a faulty server that takes itself out, or whose value nobody notices."""
+    faulty = f.world.plain[0]
+    for value in ("soon", "-1", "Sat, 05 Dec 2026 00:00:00 GMT"):
+        faulty.refuse_for(10.0, retry_after=value)
+        before = len(faulty.arrivals)
+        for _ in range(20):
+            check_complete(await call(f.port, "read"))
+        check(len(faulty.arrivals) > before + 1, f"{value}: the server got no more requests")
+    metrics = (await get(f.gateways[0].metrics_port, "/metrics"))[1]
+    check('lovage_gateway_target_notices{reason="invalid_pause"}' in metrics, "not counted")
+
+
 async def draining_server_gets_no_new_work(f):
     """Guards against new requests to a server that is registered as draining."""
     draining = f.world.plain[0]
@@ -288,7 +445,10 @@
 
 
 CASES = [serves_each_kind, stream_lives_through_a_crash, stream_lives_through_silence, publish_runs_once,
-         read_is_repeated_once, draining_server_gets_no_new_work, restarted_server_is_found, revoked_key_is_closed,
+         read_is_repeated_once, leaving_server_gets_no_new_work, half_of_the_engines_leave_under_load,
+         paused_server_gets_no_requests, requests_in_flight_when_a_pause_begins, requests_wait_for_a_short_pause,
+         process_is_frozen_at_the_end_of_a_pause, stream_resumes_beside_paused_engines, unreadable_pause_is_reported,
+         draining_server_gets_no_new_work, restarted_server_is_found, revoked_key_is_closed,
          lost_store_closes_keys, forgotten_history_is_read_again, planned_stop_cuts_nothing,
          killed_process_serves_again, stopped_work_of_gone_callers,
          good_version_is_moved_to, version_is_taken_back_if_it_may_be_too_many, bad_version_is_taken_back]
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -7,6 +7,8 @@
 import asyncio
 import base64
 import json
+import random
+import time
 import urllib.parse
 
 EVENTS = 40  # events per stream
@@ -190,8 +192,14 @@
         super().__init__()
         self.world, self.name, self.service, self.zone = world, name, service, zone
         self.incarnation = 0
+        self.born = int(time.time() * 1000)
         self.version = "v1"
         self.runs = {}
+        self.arrivals = []  # time.monotonic() of each request that has an id
+        self.is_leaving = False  # say so in every answer
+        self.refuse_until = 0.0  # time.monotonic(); refuse requests until then, with a Retry-After of the time left
+        self.refuse_share = 1.0
+        self.retry_after = None  # say this in place of the time left
 
     @property
     def id(self):
@@ -199,23 +207,42 @@
 
     def register(self, state="ready"):
         entry = {"Service": self.service, "Address": self.address, "Zone": self.zone, "Version": self.version,
-                 "Slots": 24, "State": state, "ColdLeftMs": 0, "Seq": 1}
+                 "Slots": 24, "State": state, "ColdLeftMs": 0, "Seq": 1, "born": self.born}
         self.world.store.put("servers/" + self.id, entry)
 
     def unregister(self):
         self.world.store.remove("servers/" + self.id)
 
-    async def restart(self):
-        self.unregister()
-        self.incarnation += 1
+    async def restart(self, keeps_id=False):
+        if not keeps_id:
+            self.unregister()
+            self.incarnation += 1
+        self.born = int(time.time() * 1000)
+        self.is_leaving, self.refuse_until = False, 0.0
         await self.start()
         self.register()
 
     def reply_headers(self, request):
-        return [("Request-Id", request.headers.get("request-id", "")), ("Response-Seal", "seal." + self.id)]
+        return [("Response-Seal", "seal." + self.id)] + self.refusal_headers(request)
 
     def refusal_headers(self, request):
-        return self.reply_headers(request)[:1]
+        leaving = [("Server-Leaving", "1")] if self.is_leaving else []
+        return [("Request-Id", request.headers.get("request-id", ""))] + leaving
+
+    def refuse_for(self, seconds, share=1.0, retry_after=None):
+        self.refuse_until, self.refuse_share = time.monotonic() + seconds, share
+        self.retry_after = retry_after
+
+    def refusal(self, request):
+        """Returns the refusal of the request, or None if the server accepts it."""
+        left = self.refuse_until - time.monotonic()
+        if left <= 0 or random.random() >= self.refuse_share:
+            return None
+        value = f"{left:.3f}" if self.retry_after is None else self.retry_after
+        return answer(503, headers=[("Not-Executed", "1"), ("Retry-After", value)] + self.refusal_headers(request))
+
+    def arrived_since(self, at):
+        return sum(1 for arrival in self.arrivals if arrival > at)
 
     def record_run(self, request):
         self.runs[request.headers["request-id"]] = self.runs.get(request.headers["request-id"], 0) + 1
@@ -245,6 +272,10 @@
         if request.headers.get("expect-instance") != self.id:
             writer.write(answer(421, headers=[("Instance-Id", self.id)] + self.refusal_headers(request)))
             return True
+        self.arrivals.append(time.monotonic())
+        if refusal := self.refusal(request):
+            writer.write(refusal)
+            return True
         self.record_run(request)
         if self.endless:
             start, block = ENDLESS[self.endless]
@@ -301,6 +332,10 @@
         if headers.get("expect-instance") != self.id:
             writer.write(answer(421, headers=[("Instance-Id", self.id)] + self.refusal_headers(request)))
             return True
+        self.arrivals.append(time.monotonic())
+        if refusal := self.refusal(request):
+            writer.write(refusal)
+            return True
         source = headers.get("kv-from")
         if source is not None and self.copies.pop(source.split("/", 1)[1], None) is None:
             writer.write(answer(503, headers=[("Not-Executed", "1")] + self.refusal_headers(request)))
