Start requests together that arrived together during a pause

Cause: the process test requests_wait_for_a_short_pause failed on the first build: five requests arrived at one moment and were to start over half of the time that they had waited, so the last one reached its limit and was refused after waiting. Change: the starts are spread over half of the span of the arrivals, which is what the decision to wait assumes. Requests in progress are destroyed after the queue that holds some of them; a failed assertion of a test ended in a segmentation fault.

--- a/include/lovage/core/admission_wait.h
+++ b/include/lovage/core/admission_wait.h
@@ -40,7 +40,7 @@
     /// Time for which it may wait and still meet its objective.
     time_point::duration patience{};
     /// Time until the first target accepts requests again, if all targets have asked for a pause, and the
-    /// time for which requests have waited for that already.
+    /// time since the first request that waits for that.
     std::optional<time_point::duration> pause_left{};
     time_point::duration waited_for_pause{};
     /// Interval at which requests that waited for the end of a pause are being started; 0 if none are.
@@ -60,8 +60,8 @@
     std::size_t left = 0;
 };
 
-/// Plans the starts of `waiting` requests that have arrived within `waited` before the end of a pause.
-start_pace plan_starts(std::size_t waiting, time_point::duration waited, time_point now);
+/// Plans the starts of `waiting` requests that have arrived within `span` during a pause that ends now.
+start_pace plan_starts(std::size_t waiting, time_point::duration span, time_point now);
 
 /// Records a start at `start_pace::next`. `is_last` ends the pace.
 void record_paced_start(start_pace& pace, bool is_last);
--- a/include/lovage/traffic/admission_queue.h
+++ b/include/lovage/traffic/admission_queue.h
@@ -34,8 +34,12 @@
     std::unordered_map<queue_ticket, waiting_request> waiting;
     queue_ticket last_ticket = 0;
     release_rate releases;
-    /// When the first request began to wait for the end of a pause that is not over.
-    std::optional<time_point> pausing_since;
+    /// When the first and the last request began to wait for the end of a pause that is not over.
+    struct pause_arrivals {
+        time_point first{};
+        time_point last{};
+    };
+    std::optional<pause_arrivals> pausing;
     start_pace pace;
     /// When the next check is due, if one is scheduled.
     std::optional<time_point> dispatch_at;
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -68,7 +68,10 @@
     /// since entries may lapse and return.
     std::unordered_map<std::string, target_notice> notices;
     std::unordered_map<std::string, retry_window> retries;
-    /// Generations that wait for an engine with memory, by service.
+    /// Requests in progress, which are notified if their target is lost. Destroyed after `admission`, whose
+    /// requests leave it then.
+    std::set<proxied_request*> requests;
+    /// Requests that wait for their start, by service.
     std::unordered_map<std::string, admission_queue> admission;
     /// Recent failures by service and zone.
     std::map<std::pair<std::string, std::string>, zone_failures> zones;
@@ -79,8 +82,6 @@
     std::optional<time_point> shutdown_requested_at;
     /// Running mean of the duration of a complete stream, with a conservative initial value.
     time_point::duration mean_stream_duration{std::chrono::seconds(5)};
-    /// Requests in progress, which are notified if their target is lost.
-    std::set<proxied_request*> requests;
 };
 
 /// Replaces the view and drops the state of targets that are no longer in it.
--- a/src/core/admission_wait.cpp
+++ b/src/core/admission_wait.cpp
@@ -51,10 +51,10 @@
     return interval_of(rate) * static_cast<std::int64_t>(waiting_before + 1);
 }
 
-start_pace plan_starts(std::size_t waiting, time_point::duration waited, time_point now) {
+start_pace plan_starts(std::size_t waiting, time_point::duration span, time_point now) {
     start_pace pace;
     if (waiting > 0) {
-        const auto interval = waited / (k_catch_up_factor * static_cast<std::int64_t>(waiting));
+        const auto interval = span / (k_catch_up_factor * static_cast<std::int64_t>(waiting));
         pace.interval = std::max(interval, k_min_start_interval);
         pace.next = now;
         pace.left = waiting;
--- a/src/traffic/admission_queue.cpp
+++ b/src/traffic/admission_queue.cpp
@@ -16,8 +16,8 @@
 
 // Returns when the request at the front may start, as far as the starts before it decide that.
 time_point next_turn(admission_queue& admission, time_point now) {
-    if (const auto since = std::exchange(admission.pausing_since, std::nullopt)) {
-        admission.pace = plan_starts(admission.queue.size, now - *since, now);
+    if (const auto arrivals = std::exchange(admission.pausing, std::nullopt)) {
+        admission.pace = plan_starts(admission.queue.size, arrivals->last - arrivals->first, now);
     }
     return admission.pace.left > 0 ? admission.pace.next : next_start(admission.releases, now);
 }
@@ -78,7 +78,8 @@
         return 0;
     }
     if (const auto pause_end = request.condition().pause_end) {
-        admission.pausing_since = admission.pausing_since.value_or(traffic.timers.now());
+        const auto now = traffic.timers.now();
+        admission.pausing = {admission.pausing ? admission.pausing->first : now, now};
         schedule_dispatch_at(traffic, service, *pause_end);
     } else if (admission.pace.left > 0) {
         schedule_dispatch_at(traffic, service, admission.pace.next);
@@ -91,7 +92,7 @@
     remove_ticket(admission.queue, ticket);
     admission.waiting.erase(ticket);
     if (admission.queue.size == 0) {
-        admission.pausing_since.reset();
+        admission.pausing.reset();
         admission.pace = {};
     }
 }
--- a/src/traffic/proxied_placement.cpp
+++ b/src/traffic/proxied_placement.cpp
@@ -85,7 +85,8 @@
     facts.patience = std::min(fraction_of(m_route->objective, k_wait_fraction), time_left());
     if (condition.pause_end) {
         facts.pause_left = *condition.pause_end - now;
-        facts.waited_for_pause = now - admission.pausing_since.value_or(now);
+        facts.waited_for_pause =
+            admission.pausing ? now - admission.pausing->first : time_point::duration::zero();
     }
     facts.start_interval = admission.pace.interval;
     switch (decide_admission(admission.releases, facts)) {
@@ -124,7 +125,7 @@
         return;
     }
     log_step(log_level::info, "waiting",
-             admission.pausing_since ? "all targets pause" : "others wait, or no engine has memory",
+             admission.pausing ? "all targets pause" : "others wait, or no engine has memory",
              std::to_string(admission.queue.size) + " requests wait");
     m_wait_timer = m_traffic.timers.after(patience, [self = shared_from_this()] {
         self->m_wait_timer = nullptr;
