--- a/src/core/target_notice.cpp
+++ b/src/core/target_notice.cpp
@@ -50,7 +50,8 @@
     const auto limited = std::min(pause, k_max_pause);
     const auto spread =
         std::min<time_point::duration>(part_of(limited, k_process_spread), k_max_process_spread);
-    notice.paused_until = std::max<time_point>(notice.paused_until, now + limited + part_of(spread, position));
+    notice.paused_until =
+        std::max<time_point>(notice.paused_until, now + limited + part_of(spread, position));
 }
 
 void record_invalid(target_notice& notice, std::uint64_t started_ms, time_point now) {
