--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -100,6 +100,29 @@
     return is_new;
 }
 
+void note_pause(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
+                milliseconds pause) {
+    const auto now = traffic.timers.now();
+    auto& notice = traffic.notices[target_id];
+    const double position = std::uniform_real_distribution<double>(0.0, 1.0)(traffic.random);
+    record_pause(notice, started_ms, pause, position, now);
+    traffic.sink.count("gateway_target_notices", "paused");
+    if (!std::exchange(notice.is_pause_logged, true)) {
+        log_notice(traffic, "target_paused", target_id, notice,
+                   {{"asked_ms", std::to_string(pause.count())}, {"left_ms", left_ms(notice, now)}});
+    }
+}
+
+void note_invalid(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
+                  const std::string& statement) {
+    auto& notice = traffic.notices[target_id];
+    record_invalid(notice, started_ms, traffic.timers.now());
+    traffic.sink.count("gateway_target_notices", "invalid_" + statement);
+    if (!std::exchange(notice.is_invalid_logged, true)) {
+        log_notice(traffic, "target_notice_invalid", target_id, notice, {{"field", statement}});
+    }
+}
+
 } // namespace
 
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
@@ -113,8 +136,6 @@
         traffic.sink.count("gateway_target_notices", "earlier_start");
         return;
     }
-    const auto now = traffic.timers.now();
-    auto& notice = traffic.notices[target_id];
     if (head.is_leaving) {
         traffic.sink.count("gateway_target_notices", "leaving");
         if (note_leaving(traffic, target_id, started_ms, "") && started_ms != 0) {
@@ -125,23 +146,10 @@
         }
     }
     if (head.pause) {
-        const double position = std::uniform_real_distribution<double>(0.0, 1.0)(traffic.random);
-        record_pause(notice, started_ms, *head.pause, position, now);
-        traffic.sink.count("gateway_target_notices", "paused");
-        if (!std::exchange(notice.is_pause_logged, true)) {
-            log_notice(
-                traffic, "target_paused", target_id, notice,
-                {{"asked_ms", std::to_string(head.pause->count())}, {"left_ms", left_ms(notice, now)}});
-        }
+        note_pause(traffic, target_id, started_ms, *head.pause);
     }
     if (has_invalid) {
-        record_invalid(notice, started_ms, now);
-        traffic.sink.count("gateway_target_notices",
-                           head.has_invalid_pause ? "invalid_pause" : "invalid_leaving");
-        if (!std::exchange(notice.is_invalid_logged, true)) {
-            log_notice(traffic, "target_notice_invalid", target_id, notice,
-                       {{"field", head.has_invalid_pause ? "pause" : "leaving"}});
-        }
+        note_invalid(traffic, target_id, started_ms, head.has_invalid_pause ? "pause" : "leaving");
     }
 }
 
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -49,6 +49,7 @@
         events.pop_front();
     }
     std::vector<Event> recent;
+    recent.reserve(events.size());
     for (const auto& [at, event] : events) {
         recent.push_back(event);
     }
