--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -70,7 +70,10 @@
     /// since entries may lapse and return.
     std::unordered_map<std::string, target_notice> notices;
     std::unordered_map<std::string, retry_window> retries;
-    /// Generations that wait for an engine with memory, by service.
+    /// Requests in progress, which are notified if their target is lost. Destroyed after `admission`, whose
+    /// requests leave it then.
+    std::set<proxied_request*> requests;
+    /// Requests that wait for their start, by service.
     std::unordered_map<std::string, admission_queue> admission;
     /// Recent failures by service and zone.
     std::map<std::pair<std::string, std::string>, zone_failures> zones;
@@ -81,8 +84,6 @@
     std::optional<time_point> shutdown_requested_at;
     /// Running mean of the duration of a complete stream, with a conservative initial value.
     time_point::duration mean_stream_duration{std::chrono::seconds(5)};
-    /// Requests in progress, which are notified if their target is lost.
-    std::set<proxied_request*> requests;
 };
 
 /// Replaces the view by a newer one and drops the state of targets that are no longer in it. Ignores a view
@@ -99,20 +100,44 @@
 std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service,
                                             version_side side);
 
-/// Returns the record of a ready target that accepts requests; null if there is none.
+/// Returns the record of a target that accepts new work; null if there is none.
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
                                        const std::string& id);
 
-/// Records what the target that started at `started_ms` asks of this process in an answer.
+/// Whether a target may keep a standby copy that it has. A pause does not end the copy: the engine that made
+/// it keeps it up to date.
+bool may_keep_copy(const gateway_traffic& traffic, const std::string& service, const std::string& id);
+
+/// Records what the target that started at `started_ms` asks of this process in an answer. Ignores an answer
+/// from before the target's present start.
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
                     const answer_head& head);
 
-/// Whether a target may get new work of this process.
-bool accepts_requests(const gateway_traffic& traffic, const target_record& target);
+/// Whether work may be sent to a target now. Every path that sends to targets asks it.
+target_availability availability_of(const gateway_traffic& traffic, const target_record& target,
+                                    work_kind work);
 
-/// Returns when the first ready target of a service accepts requests again, if all of them have asked this
-/// process to pause.
-std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service);
+/// Logs that a target which paused gets requests again.
+void log_end_of_pause(gateway_traffic& traffic, const target_record& target);
+
+/// A target that gets no new work.
+struct target_status {
+    target_record target;
+    acceptance state = acceptance::paused;
+    /// Time until the end of its pause; 0 if it is leaving.
+    milliseconds left{0};
+};
+
+/// Returns the registered targets that get no new work of this process now.
+std::vector<target_status> withheld_targets(const gateway_traffic& traffic);
+
+/// Closes the idle connections to a target that is leaving.
+void close_connections_if_leaving(gateway_traffic& traffic, const target_record& target);
+
+/// Returns when the first target that may serve this side of a service accepts requests again, if none does
+/// now and at least one has asked this process to pause.
+std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service,
+                                       version_side side);
 
 /// Records a failure of a target and of its zone, and reports it to the peers. A replaced target does not
 /// count against its zone.
@@ -122,6 +147,11 @@
 /// Applies a target failure that another process has reported.
 void apply_peer_failure(gateway_traffic& traffic, const peer_target_failure& failure);
 
+/// Applies a hint of another process that a target is leaving. Ignores a hint about another start than the
+/// target's present one, and about targets without an entry, which bounds the memory.
+void apply_peer_leaving(gateway_traffic& traffic, const peer_leaving_target& leaving,
+                        const std::string& reported_by);
+
 /// Returns this process's share of the retry budget, which all gateway processes share.
 retry_window_limits retry_share(const gateway_traffic& traffic);
 
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -72,12 +72,7 @@
         std::uint32_t number = 0;
         /// Number of events received.
         std::uint32_t event_count = 0;
-        std::string target_id;
-        std::string zone;
-        std::string address;
-        std::string version;
-        /// The target's `started_ms`.
-        std::uint64_t target_started_ms = 0;
+        target_record target;
         standby_copy copy;
         bool from_copy = false;
         time_point started{};
@@ -118,8 +113,10 @@
     void admit();
     void start_or_wait();
     bool has_engine_memory();
-    void wait_for_engine(milliseconds patience);
-    void refuse_for_lack_of_memory();
+    bool needs_engine_memory() const;
+    start_condition condition_to_start();
+    void wait_for_turn(milliseconds patience);
+    void refuse_waiting();
     bool may_start() const;
     bool is_quarantined() const;
     bool has_previous_answer() const;
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -14,21 +14,56 @@
 constexpr std::size_t k_failing_zone_targets = 3;
 constexpr milliseconds k_zone_failure_window{1'500};
 
-std::vector<target_candidate> candidates_on_side(gateway_traffic& traffic, const std::string& service,
-                                                 version_side side) {
-    std::vector<target_candidate> candidates;
+const target_list& targets_of(const gateway_traffic& traffic, const std::string& service) {
+    static const target_list k_none;
     if (!traffic.view->targets) {
-        return candidates;
+        return k_none;
     }
     const auto found = traffic.view->targets->find(service);
-    if (found == traffic.view->targets->end()) {
-        return candidates;
+    return found != traffic.view->targets->end() ? found->second : k_none;
+}
+
+const target_record* find_in(const target_list& list, const std::string& id) {
+    const auto target = std::find_if(list.begin(), list.end(),
+                                     [&id](const target_record& record) { return record.id == id; });
+    return target != list.end() ? &*target : nullptr;
+}
+
+// Looks through all services, so it is meant for rare events.
+const target_record* find_target(const gateway_traffic& traffic, const std::string& id) {
+    const target_record* target = nullptr;
+    if (traffic.view->targets) {
+        for (const auto& [service, list] : *traffic.view->targets) {
+            target = target != nullptr ? target : find_in(list, id);
+        }
     }
+    return target;
+}
+
+bool is_on_side(const version_split* split, version_side side, const target_record& target) {
+    return split == nullptr || is_eligible_for_side(*split, side, target.id, target.version);
+}
+
+// Returns the side that serves the requests of `side` if the targets of that one accept none.
+std::optional<version_side> substitute_side(const version_split* split, version_side side) {
+    if (split == nullptr) {
+        return std::nullopt;
+    }
+    const auto other = side == version_side::usual ? version_side::moved : version_side::usual;
+    const bool may_substitute = other == version_side::usual || split->share >= 1.0;
+    return may_substitute ? std::optional<version_side>(other) : std::nullopt;
+}
+
+bool accepts_new_work(const gateway_traffic& traffic, const target_record& target) {
+    return availability_of(traffic, target, work_kind::new_work).state == acceptance::accepting;
+}
+
+std::vector<target_candidate> candidates_on_side(gateway_traffic& traffic, const std::string& service,
+                                                 version_side side) {
+    std::vector<target_candidate> candidates;
     const auto* split = find_split(traffic, service);
-    for (const auto& target : found->second) {
-        const bool is_on_side =
-            split == nullptr || is_eligible_for_side(*split, side, target.id, target.version);
-        if (target.phase == target_phase::ready && is_on_side && accepts_requests(traffic, target)) {
+    for (const auto& target : targets_of(traffic, service)) {
+        if (is_on_side(split, side, target) && accepts_new_work(traffic, target)) {
             candidates.push_back({&target, traffic.usage[target.id]});
             auto& usage = candidates.back().usage;
             const auto from_peers = sum_peer_usage(traffic, target.id);
@@ -55,46 +90,132 @@
     }
 }
 
+void log_notice(const gateway_traffic& traffic, std::string_view event, const std::string& target_id,
+                const target_notice& notice, std::vector<log_field> fields) {
+    fields.insert(fields.begin(), {{"target", target_id}, {"started_ms", std::to_string(notice.started_ms)}});
+    fields.push_back({"view", std::to_string(traffic.view->sequence)});
+    traffic.sink.log(log_level::info, event, fields);
+}
+
+std::string left_ms(const target_notice& notice, time_point now) {
+    return std::to_string(std::chrono::ceil<milliseconds>(notice.paused_until - now).count());
+}
+
+// Returns whether this process did not know it. `reported_by` is the peer that knew, empty for none.
+bool note_leaving(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
+                  const std::string& reported_by) {
+    auto& notice = traffic.notices[target_id];
+    const bool is_new = !notice.is_leaving || has_started_anew(notice.started_ms, started_ms);
+    record_leaving(notice, started_ms, traffic.timers.now());
+    if (is_new) {
+        log_notice(traffic, "target_leaving", target_id, notice, {{"reported_by", reported_by}});
+    }
+    return is_new;
+}
+
+void note_pause(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
+                milliseconds pause) {
+    const auto now = traffic.timers.now();
+    auto& notice = traffic.notices[target_id];
+    const double position = std::uniform_real_distribution<double>(0.0, 1.0)(traffic.random);
+    record_pause(notice, started_ms, pause, position, now);
+    traffic.sink.count("gateway_target_notices", "paused");
+    if (!std::exchange(notice.is_pause_logged, true)) {
+        log_notice(traffic, "target_paused", target_id, notice,
+                   {{"asked_ms", std::to_string(pause.count())}, {"left_ms", left_ms(notice, now)}});
+    }
+}
+
+void note_invalid(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
+                  const std::string& statement) {
+    auto& notice = traffic.notices[target_id];
+    record_invalid(notice, started_ms, traffic.timers.now());
+    traffic.sink.count("gateway_target_notices", "invalid_" + statement);
+    if (!std::exchange(notice.is_invalid_logged, true)) {
+        log_notice(traffic, "target_notice_invalid", target_id, notice, {{"field", statement}});
+    }
+}
+
 } // namespace
 
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
                     const answer_head& head) {
-    const auto now = traffic.timers.now();
+    const bool has_invalid = head.has_invalid_leaving || head.has_invalid_pause;
+    if (!head.is_leaving && !head.pause && !has_invalid) {
+        return;
+    }
+    const auto* target = find_target(traffic, target_id);
+    if (target != nullptr && has_started_anew(started_ms, target->started_ms)) {
+        traffic.sink.count("gateway_target_notices", "earlier_start");
+        return;
+    }
     if (head.is_leaving) {
-        auto& notice = traffic.notices[target_id];
-        const bool is_new = !notice.is_leaving || notice.started_ms != started_ms;
-        record_leaving(notice, started_ms, now);
-        if (is_new) {
-            traffic.sink.log(log_level::info, "target_leaving",
-                             {{"target", target_id},
-                              {"started_ms", std::to_string(started_ms)},
-                              {"view", std::to_string(traffic.view->sequence)}});
+        traffic.sink.count("gateway_target_notices", "leaving");
+        if (note_leaving(traffic, target_id, started_ms, "") && started_ms != 0) {
+            add_leaving_to_reports(traffic, {target_id, started_ms});
+        }
+        if (target != nullptr) {
+            close_connections_if_leaving(traffic, *target);
         }
     }
     if (head.pause) {
-        record_pause(traffic.notices[target_id], *head.pause, now);
-        traffic.sink.count("gateway_target_pauses", "refused");
+        note_pause(traffic, target_id, started_ms, *head.pause);
+    }
+    if (has_invalid) {
+        note_invalid(traffic, target_id, started_ms, head.has_invalid_pause ? "pause" : "leaving");
     }
 }
 
-bool accepts_requests(const gateway_traffic& traffic, const target_record& target) {
-    const auto notice = traffic.notices.find(target.id);
-    return notice == traffic.notices.end() || accepts_requests(notice->second, target, traffic.timers.now());
+void log_end_of_pause(gateway_traffic& traffic, const target_record& target) {
+    const auto found = traffic.notices.find(target.id);
+    if (found != traffic.notices.end() && traffic.timers.now() >= found->second.paused_until &&
+        std::exchange(found->second.is_pause_logged, false)) {
+        log_notice(traffic, "target_resumed", target.id, found->second, {});
+    }
 }
 
-std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service) {
-    if (!traffic.view->targets || traffic.view->targets->count(service) == 0) {
-        return std::nullopt;
+std::vector<target_status> withheld_targets(const gateway_traffic& traffic) {
+    std::vector<target_status> withheld;
+    if (!traffic.view->targets) {
+        return withheld;
+    }
+    const auto now = traffic.timers.now();
+    for (const auto& [service, list] : *traffic.view->targets) {
+        for (const auto& target : list) {
+            const auto found = availability_of(traffic, target, work_kind::new_work);
+            if (found.state != acceptance::accepting) {
+                const auto left = found.state == acceptance::paused ? found.until - now : milliseconds(0);
+                withheld.push_back({target, found.state, std::chrono::ceil<milliseconds>(left)});
+            }
+        }
+    }
+    return withheld;
+}
+
+target_availability availability_of(const gateway_traffic& traffic, const target_record& target,
+                                    work_kind work) {
+    const auto found = traffic.notices.find(target.id);
+    return availability_of(found != traffic.notices.end() ? found->second : target_notice{}, target, work,
+                           traffic.timers.now());
+}
+
+void close_connections_if_leaving(gateway_traffic& traffic, const target_record& target) {
+    if (availability_of(traffic, target, work_kind::new_work).state == acceptance::leaving) {
+        traffic.targets.close_idle_connections(target.address);
     }
-    std::vector<time_point> ends;
-    for (const auto& target : traffic.view->targets->at(service)) {
-        const auto found = traffic.notices.find(target.id);
-        const auto notice = found != traffic.notices.end() ? found->second : target_notice{};
-        if (target.phase == target_phase::ready && !is_leaving(notice, target)) {
-            ends.push_back(notice.paused_until);
+}
+
+std::optional<time_point> end_of_pause(const gateway_traffic& traffic, const std::string& service,
+                                       version_side side) {
+    const auto* split = find_split(traffic, service);
+    const auto substitute = substitute_side(split, side);
+    std::vector<target_availability> found;
+    for (const auto& target : targets_of(traffic, service)) {
+        if (is_on_side(split, side, target) || (substitute && is_on_side(split, *substitute, target))) {
+            found.push_back(availability_of(traffic, target, work_kind::new_work));
         }
     }
-    return earliest_end(ends, traffic.timers.now());
+    return earliest_end(found);
 }
 
 void record_and_report_failure(gateway_traffic& traffic, const std::string& service, const std::string& zone,
@@ -120,6 +241,23 @@
     }
 }
 
+void apply_peer_leaving(gateway_traffic& traffic, const peer_leaving_target& leaving,
+                        const std::string& reported_by) {
+    const auto known = traffic.notices.find(leaving.target_id);
+    if (known != traffic.notices.end() && known->second.is_leaving &&
+        known->second.started_ms == leaving.started_ms) {
+        return;
+    }
+    const auto* target = find_target(traffic, leaving.target_id);
+    if (target == nullptr || leaving.started_ms == 0 || target->started_ms != leaving.started_ms) {
+        traffic.sink.count("gateway_target_notices", "outdated_hint");
+        return;
+    }
+    note_leaving(traffic, leaving.target_id, leaving.started_ms, reported_by);
+    traffic.sink.count("gateway_target_notices", "leaving_hint");
+    close_connections_if_leaving(traffic, *target);
+}
+
 shutdown_phase current_shutdown_phase(const gateway_traffic& traffic) {
     if (!traffic.shutdown_requested_at) {
         return shutdown_phase::serving;
@@ -190,6 +328,9 @@
         const bool is_dropped = known.count(entry->first) == 0 && is_obsolete(entry->second, now);
         entry = is_dropped ? traffic.notices.erase(entry) : std::next(entry);
     }
+    for (const auto& [service, admission] : traffic.admission) {
+        schedule_dispatch(traffic, service);
+    }
     for (const auto& [service, list] : *before->targets) {
         for (const auto& target : list) {
             const auto used = traffic.usage.find(target.id);
@@ -206,30 +347,23 @@
 std::vector<target_candidate> candidates_of(gateway_traffic& traffic, const std::string& service,
                                             version_side side) {
     auto candidates = candidates_on_side(traffic, service, side);
-    const auto* split = find_split(traffic, service);
-    if (candidates.empty() && split != nullptr) {
-        const auto other = side == version_side::usual ? version_side::moved : version_side::usual;
-        if (other == version_side::usual || split->share >= 1.0) {
-            candidates = candidates_on_side(traffic, service, other);
-        }
+    const auto substitute = substitute_side(find_split(traffic, service), side);
+    if (candidates.empty() && substitute) {
+        candidates = candidates_on_side(traffic, service, *substitute);
     }
     return candidates;
 }
 
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
                                        const std::string& id) {
-    if (!traffic.view->targets) {
-        return nullptr;
-    }
-    const auto found = traffic.view->targets->find(service);
-    if (found == traffic.view->targets->end()) {
-        return nullptr;
-    }
-    const auto target = std::find_if(found->second.begin(), found->second.end(),
-                                     [&id](const target_record& record) { return record.id == id; });
-    const bool is_usable = target != found->second.end() && target->phase == target_phase::ready &&
-                           accepts_requests(traffic, *target);
-    return is_usable ? &*target : nullptr;
+    const auto* target = find_in(targets_of(traffic, service), id);
+    return target != nullptr && accepts_new_work(traffic, *target) ? target : nullptr;
+}
+
+bool may_keep_copy(const gateway_traffic& traffic, const std::string& service, const std::string& id) {
+    const auto* target = find_in(targets_of(traffic, service), id);
+    return target != nullptr &&
+           availability_of(traffic, *target, work_kind::new_work).state != acceptance::leaving;
 }
 
 bool can_trust_keys(const gateway_traffic& traffic) {
--- a/src/traffic/proxied_placement.cpp
+++ b/src/traffic/proxied_placement.cpp
@@ -13,8 +13,8 @@
 // Minimum cached fraction of the prompt for which a request is sent to a busier engine; a smaller one saves
 // too little prefill.
 constexpr double k_min_cached_fraction = 0.5;
-// Part of the objective for the first event that a generation may spend waiting for an engine; the rest
-// suffices to read its prompt.
+// Part of the objective that a request may spend waiting before its start; the rest suffices to serve it, for
+// a generation to read its prompt.
 constexpr double k_wait_fraction = 0.5;
 
 } // namespace
@@ -53,8 +53,8 @@
         !m_service->engine->sends_copies) {
         return;
     }
-    want.excluded.push_back(next.target_id);
-    want.avoided_zone = next.zone;
+    want.excluded.push_back(next.target.id);
+    want.avoided_zone = next.target.zone;
     if (const auto chosen = choose_target_for_copy(candidates, want, m_traffic.random)) {
         const auto& record = *candidates[*chosen].record;
         next.copy = {record.id, record.address, "", ""};
@@ -67,29 +67,42 @@
     return candidates.empty() || has_target_with_memory(candidates, placement_among(candidates));
 }
 
+bool proxied_request::needs_engine_memory() const {
+    return is_stream() && memory_capacity() > 0 && memory_tokens() > 0;
+}
+
+start_condition proxied_request::condition_to_start() {
+    return {!needs_engine_memory() || has_engine_memory(), end_of_pause(m_traffic, m_service_name, m_side)};
+}
+
 void proxied_request::start_or_wait() {
-    if (!is_stream() || memory_capacity() == 0 || memory_tokens() == 0) {
-        send(false);
-        return;
-    }
     auto& admission = m_traffic.admission[m_service_name];
-    const auto patience = fraction_of(m_route->objective, k_wait_fraction);
-    const auto step =
-        decide_admission(admission.releases, {has_engine_memory(), admission.queue.size, patience});
-    switch (step) {
+    const auto condition = condition_to_start();
+    const auto now = m_traffic.timers.now();
+    admission_request facts;
+    facts.has_room = condition.has_room;
+    facts.waiting_before = admission.queue.size;
+    facts.patience = std::min(fraction_of(m_route->objective, k_wait_fraction), time_left());
+    if (condition.pause_end) {
+        facts.pause_left = *condition.pause_end - now;
+        facts.waited_for_pause =
+            admission.pausing ? now - admission.pausing->first : time_point::duration::zero();
+    }
+    facts.start_interval = admission.pace.interval;
+    switch (decide_admission(admission.releases, facts)) {
     case admission_step::start:
         send(false);
         break;
     case admission_step::wait:
-        wait_for_engine(patience);
+        wait_for_turn(std::chrono::ceil<milliseconds>(facts.patience));
         break;
     case admission_step::refuse:
-        refuse_for_lack_of_memory();
+        refuse_waiting();
         break;
     }
 }
 
-void proxied_request::wait_for_engine(milliseconds patience) {
+void proxied_request::wait_for_turn(milliseconds patience) {
     auto& admission = m_traffic.admission[m_service_name];
     const auto now = m_traffic.timers.now();
     queued_request place;
@@ -97,30 +110,35 @@
     place.priority = static_cast<priority>(std::clamp<std::int64_t>(m_queue_rank, 0, k_priority_count - 1));
     place.arrival = now;
     place.latest_start = now + patience;
-    m_ticket = wait_for_memory(admission, std::move(place),
-                               {[this] { return has_engine_memory(); },
-                                [self = shared_from_this()] {
-                                    self->m_ticket = 0;
-                                    cancel_timer(self->m_wait_timer);
-                                    self->m_traffic.sink.observe(
-                                        "gateway_admission_wait_seconds",
-                                        to_seconds(self->m_traffic.timers.now() - self->m_request.received));
-                                    self->send(false);
-                                }});
+    m_ticket = wait_to_start(m_traffic, m_service_name, std::move(place),
+                             {needs_engine_memory(), [this] { return condition_to_start(); },
+                              [self = shared_from_this()] {
+                                  self->m_ticket = 0;
+                                  cancel_timer(self->m_wait_timer);
+                                  self->m_traffic.sink.observe(
+                                      "gateway_admission_wait_seconds",
+                                      to_seconds(self->m_traffic.timers.now() - self->m_request.received));
+                                  self->send(false);
+                              }});
     if (m_ticket == 0) {
-        refuse_for_lack_of_memory();
+        refuse_waiting();
         return;
     }
-    log_step(log_level::info, "waiting", "no engine has memory",
-             std::to_string(admission.queue.size) + " generations wait");
+    log_step(log_level::info, "waiting",
+             admission.pausing ? "all targets pause" : "others wait, or no engine has memory",
+             std::to_string(admission.queue.size) + " requests wait");
     m_wait_timer = m_traffic.timers.after(patience, [self = shared_from_this()] {
         self->m_wait_timer = nullptr;
-        self->refuse_for_lack_of_memory();
+        self->refuse_waiting();
     });
 }
 
-void proxied_request::refuse_for_lack_of_memory() {
-    refuse(error_kind::overloaded, "no engine of " + m_service_name + " has memory in time");
+void proxied_request::refuse_waiting() {
+    if (!needs_engine_memory() || end_of_pause(m_traffic, m_service_name, m_side)) {
+        refuse(error_kind::target_busy, "no target of " + m_service_name + " accepts the request in time");
+    } else {
+        refuse(error_kind::overloaded, "no engine of " + m_service_name + " has memory in time");
+    }
 }
 
 std::uint64_t proxied_request::memory_tokens() const {
@@ -156,7 +174,11 @@
     m_prompt_search.pending_queries = preferred.size() + 1;
     for (const auto& id : preferred) {
         const auto* record = find_ready_target(m_traffic, m_service_name, id);
-        query_prefix_cache(m_traffic, record != nullptr ? record->address : "",
+        if (record == nullptr) {
+            handle_cached_parts(id, {});
+            continue;
+        }
+        query_prefix_cache(m_traffic, *record,
                            [self = shared_from_this(), id](const std::vector<prompt_part>& cached) {
                                self->handle_cached_parts(id, cached);
                            });
@@ -183,7 +205,11 @@
     log_step(log_level::info, "prompt_looked_for", is_found ? m_prompt_search.target_id : "not_found",
              std::to_string(m_prompt_search.tokens) + " tokens kept of " +
                  std::to_string(m_request.prompt_tokens));
-    send(false);
+    if (end_of_pause(m_traffic, m_service_name, m_side)) {
+        start_or_wait();
+    } else {
+        send(false);
+    }
 }
 
 } // namespace lovage
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -57,7 +57,9 @@
             return attempt_handle{[attempt] { attempt->is_cancelled = true; },
                                   [attempt](bool paused) { attempt->pauses.push_back(paused); }};
         };
-        traffic.targets.close_idle_connections = [](const std::string&) {};
+        traffic.targets.close_idle_connections = [this](const std::string& address) {
+            closed_addresses.push_back(address);
+        };
         traffic.sink.log = [](log_level, std::string_view, const std::vector<log_field>&) {};
         traffic.sink.count = [](const std::string&, const std::string&) {};
         traffic.sink.observe = [](const std::string&, double) {};
@@ -162,6 +164,7 @@
             now = std::max(now, m_timers.begin()->first.first);
             const auto callback = std::move(m_timers.begin()->second);
             m_timers.erase(m_timers.begin());
+            ++expired_timers;
             callback();
         }
         now = end;
@@ -176,11 +179,15 @@
 
     /// Whether timers fire although they were cancelled, as a port that breaks its contract would let them.
     bool ignores_cancellation = false;
+    /// Number of timers that have expired.
+    std::size_t expired_timers = 0;
     std::uint64_t max_output_tokens = 1'000;
     std::vector<prompt_part> prompt{{"shared", 200}, {"own", 7'800}};
     time_point now{std::chrono::seconds(100)};
     boot_time boot{0};
     std::vector<std::shared_ptr<fake_attempt>> attempts;
+    /// Addresses to which the idle connections were closed, in order.
+    std::vector<std::string> closed_addresses;
     fake_caller caller;
     gateway_traffic traffic;
 
--- a/tests/unit/held_up_thread_test.cpp
+++ b/tests/unit/held_up_thread_test.cpp
@@ -110,8 +110,11 @@
     request->method = "GET";
     request->target = "/status";
     request->id = "id";
+    target_record target;
+    target.id = "t1";
+    target.address = thread.address();
     std::vector<std::optional<target_reply>> replies;
-    send_target_request(thread.gateway().traffic, thread.address(), request, k_timeout,
+    send_target_request(thread.gateway().traffic, target, work_kind::running_work, request, k_timeout,
                         [&replies](auto reply) { replies.push_back(std::move(reply)); });
     thread.run();
     REQUIRE(replies.size() == 1);
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -718,8 +718,12 @@
     gateway.publish(request_kind::streaming, 5, 1);
     gateway.ignores_cancellation = true;
     std::vector<std::optional<target_reply>> replies;
-    send_target_request(gateway.traffic, "10.0.0.1:80", std::make_shared<forwarded_request>(),
-                        milliseconds(100), [&replies](auto reply) { replies.push_back(std::move(reply)); });
+    target_record target;
+    target.id = "t1";
+    target.address = "10.0.0.1:80";
+    send_target_request(gateway.traffic, target, work_kind::running_work,
+                        std::make_shared<forwarded_request>(), milliseconds(100),
+                        [&replies](auto reply) { replies.push_back(std::move(reply)); });
     const auto events = gateway.attempts.at(0)->events;
     events.on_head(fake_gateway::head(200));
     events.on_end();
