Report and evaluate evidence every 250 ms on entries

Cause: entries reported evidence once a second and evaluated it in rounds of 500 ms, of which a veto needs five, so that a bad version was vetoed 3.5 to 7 s after its defect showed (goal: 3 s).

Change: entries report every 250 ms while a move is configured and the leader evaluates each report; a round adds at most 0.26 of the threshold, so a veto needs four rounds (0.75 s). The pace is an argument of evaluate_round: the gateway, whose reports arrive every 500 ms, keeps rounds of 500 ms and 0.22. Reports that only defects trigger were weighed and left out: they would overtake those about good requests. The simulations of the unit test and of the fleet world take the report interval from the header of the product; the unit test lets each entry report in another step of 50 ms.

--- a/include/lovage/core/evidence.h
+++ b/include/lovage/core/evidence.h
@@ -2,6 +2,7 @@
 
 #include "lovage/core/ids.h"
 #include "lovage/core/messages.h"
+#include "lovage/core/time.h"
 
 #include <cstdint>
 #include <map>
@@ -10,6 +11,11 @@
 
 namespace lovage {
 
+/// Interval at which an entry (front-end process) reports its evidence while a move is being evaluated.
+/// Reports go out at this interval whether or not they contain defects: reports that only defects trigger
+/// would arrive before those about good requests and make each version look worse than it is.
+inline constexpr milliseconds k_evidence_report_interval{250};
+
 /// Key by which evidence is counted. Evidence is the record of how requests fared on a model version, from
 /// which a version that is being rolled out is evaluated.
 struct evidence_key {
--- a/include/lovage/core/rollout.h
+++ b/include/lovage/core/rollout.h
@@ -34,16 +34,23 @@
 
 /// A move lands (completes) at least this long before its deadline, so that all entries learn of it in time.
 inline constexpr milliseconds k_landing_margin{3'000};
-/// Bounds of the minimum duration of a step. Reports arrive every second and the test needs about 2 s.
+/// Bounds of the minimum duration of a step. The test needs about 2 s.
 inline constexpr milliseconds k_min_step_time_floor{3'000};
 inline constexpr milliseconds k_min_step_time_ceiling{30'000};
 
-/// Evidence is evaluated in rounds. When a target fails, many of its requests fail at once, and the reports
-/// on them arrive within 1 s, that is, in at most three rounds. No round adds more than this fraction of the
-/// threshold, so a veto needs defects in at least five rounds (2 s from the first to the last). With
-/// fractions of 0.3 and 0.25, 2 and 1 of 100 good versions whose targets failed every 20 s were vetoed.
-inline constexpr milliseconds k_evaluation_interval{500};
-inline constexpr double k_max_round_fraction = 0.22;
+/// How evidence is evaluated in rounds. When a target fails, many of its requests fail at once, and the
+/// reports on them arrive within one report interval, that is, in two or three rounds. No round adds more
+/// than `max_round_fraction` of the threshold, so that such a burst alone is no veto.
+struct evaluation_pace {
+    milliseconds round_interval;
+    double max_round_fraction;
+};
+/// Entries evaluate each report. A veto needs defects in at least four rounds (0.75 s from the first to the
+/// last).
+inline constexpr evaluation_pace k_entry_pace{k_evidence_report_interval, 0.26};
+/// Gateways report every k_heartbeat_interval. A veto needs defects in at least five rounds (2 s from the
+/// first to the last).
+inline constexpr evaluation_pace k_gateway_pace{milliseconds{500}, 0.22};
 /// Probability that a good version is vetoed during a move of up to 1,000 requests. The threshold grows with
 /// the number of further requests.
 inline constexpr double k_false_veto_probability = 1e-4;
@@ -100,10 +107,11 @@
 };
 
 /// Evaluates the evidence that has arrived since the previous round; does nothing before the next round is
-/// due. `evaluators` is the number of processes that evaluate the same move independently; more of them raise
-/// the threshold. Returns at most one defect per round.
+/// due by `pace`. `evaluators` is the number of processes that evaluate the same move
+/// independently; more of them raise the threshold. Returns at most one defect per round.
 std::optional<defect> evaluate_round(move_evaluation& evaluation, const evidence_table& table,
-                                     const move_config& move, std::size_t evaluators, time_point now);
+                                     const move_config& move, std::size_t evaluators,
+                                     const evaluation_pace& pace, time_point now);
 
 /// Return the requests of the new version since the current step began, and since the evaluation started.
 std::uint64_t requests_in_step(const move_evaluation& evaluation, const evidence_table& table,
--- a/src/control/gateway_moves.cpp
+++ b/src/control/gateway_moves.cpp
@@ -37,7 +37,8 @@
 
 void evaluate_move(gateway_moves& moves, gateway_move& move, time_point now, moves_output& output) {
     const auto config = move_config_of(move);
-    const auto found = evaluate_round(move.evaluation, moves.evidence, config, moves.evaluator_count, now);
+    const auto found =
+        evaluate_round(move.evaluation, moves.evidence, config, moves.evaluator_count, k_gateway_pace, now);
     if (found && !std::exchange(move.is_vetoed, true)) {
         move.veto_reason = found->text;
         output.logs.push_back({"move_vetoed",
--- a/src/control/move_control.cpp
+++ b/src/control/move_control.cpp
@@ -139,8 +139,8 @@
         if (is_finished) {
             continue;
         }
-        if (const auto found =
-                evaluate_round(run.evaluation, state.evidence, run.move, evaluator_count, now)) {
+        if (const auto found = evaluate_round(run.evaluation, state.evidence, run.move, evaluator_count,
+                                              k_entry_pace, now)) {
             veto_move(state, run, *found, output);
         }
     }
@@ -269,7 +269,7 @@
     if (now < moves_next(state, now, wall)) {
         return;
     }
-    state.next_moves_tick_at = now + k_evaluation_interval;
+    state.next_moves_tick_at = now + k_entry_pace.round_interval;
     update_published_moves(state, wall);
     if (state.config == nullptr || state.membership.self.role != node_role::entry) {
         return;
--- a/src/core/rollout.cpp
+++ b/src/core/rollout.cpp
@@ -32,8 +32,8 @@
 constexpr double k_prior_weight = 20.0;
 // Estimates are raised by one standard error, since an estimate from few requests may be below the true rate.
 constexpr double k_standard_errors = 1.0;
-// Decay factor per round; the weight of a request halves after about 20 s.
-constexpr double k_decay_per_round = 0.983;
+// The weight of a request halves after about 20 s.
+constexpr double k_decay_per_second = 0.966;
 constexpr double k_max_defect_rate = 0.95;
 constexpr std::size_t k_max_routes = 1'000;
 
@@ -63,6 +63,10 @@
 
 struct round_context {
     double threshold = 0.0;
+    /// Largest addition to a test in one round.
+    double limit = 0.0;
+    /// Weight that counts of earlier rounds keep.
+    double decay = 1.0;
     std::string route;
 };
 
@@ -78,7 +82,7 @@
     evaluation.evaluated_new = new_totals;
     evaluation.evaluated_old = old_totals;
     evaluation.recent_requests =
-        evaluation.recent_requests * k_decay_per_round + static_cast<double>(added_old.requests);
+        evaluation.recent_requests * context.decay + static_cast<double>(added_old.requests);
     const evidence_counts old_all = old_totals + old_history;
 
     double largest = 0.0;
@@ -87,7 +91,7 @@
         const auto signal = static_cast<evidence_signal>(i);
         const signal_rule& rule = k_signal_rules.at(i);
         double& recent = evaluation.recent_defects.at(i);
-        recent = recent * k_decay_per_round + static_cast<double>(defects_of(added_old, signal));
+        recent = recent * context.decay + static_cast<double>(defects_of(added_old, signal));
         const double base =
             std::min(k_max_defect_rate,
                      rule.tolerated *
@@ -96,12 +100,11 @@
                                   estimate_rate(evaluation.recent_requests, recent, rule.prior)));
         const double moderate =
             std::min(k_max_defect_rate, std::max(rule.factor * base, base + rule.increase));
-        const double limit = k_max_round_fraction * context.threshold;
         const auto requests = static_cast<double>(added_new.requests);
         const auto defects = static_cast<double>(defects_of(added_new, signal));
         sequential_test& test = evaluation.tests.at(i);
-        add_to_test(test.moderate, requests, defects, base, moderate, limit);
-        add_to_test(test.gross, requests, defects, base, std::max(moderate, rule.gross), limit);
+        add_to_test(test.moderate, requests, defects, base, moderate, context.limit);
+        add_to_test(test.gross, requests, defects, base, std::max(moderate, rule.gross), context.limit);
         const double fraction = std::max(test.moderate, test.gross) / context.threshold;
         if (fraction >= 1.0 && fraction > largest) {
             found = defect{context.route, signal,
@@ -246,7 +249,8 @@
 } // namespace
 
 std::optional<defect> evaluate_round(move_evaluation& evaluation, const evidence_table& table,
-                                     const move_config& move, std::size_t evaluators, time_point now) {
+                                     const move_config& move, std::size_t evaluators,
+                                     const evaluation_pace& pace, time_point now) {
     if (evaluation.has_started && now < evaluation.next_evaluation) {
         return std::nullopt;
     }
@@ -263,7 +267,7 @@
             evaluation.routes[route].evaluated_new = counts;
         }
     }
-    evaluation.next_evaluation = now + k_evaluation_interval;
+    evaluation.next_evaluation = now + pace.round_interval;
 
     const evidence_counts new_total = sum_of(new_routes);
     const auto requests = static_cast<double>((new_total - evaluation.counts_at_start).requests);
@@ -271,6 +275,8 @@
     round_context context;
     context.threshold = std::log(tests * static_cast<double>(std::max<std::size_t>(evaluators, 1)) *
                                  (1.0 + requests / k_threshold_requests) / k_false_veto_probability);
+    context.limit = pace.max_round_fraction * context.threshold;
+    context.decay = std::pow(k_decay_per_second, std::chrono::duration<double>(pace.round_interval).count());
     auto [defect_score, found] =
         evaluate_route(evaluation.total, new_total, sum_of(old_routes), sum_of(old_history), context);
     for (const auto& [route, counts] : new_routes) {
--- a/src/programs/lovage-entry/main.cpp
+++ b/src/programs/lovage-entry/main.cpp
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr milliseconds k_drain_poll{20};
-constexpr milliseconds k_evidence_interval{1'000};
 
 incarnation start_incarnation() {
     return static_cast<incarnation>(wall_now().time_since_epoch().count());
@@ -154,7 +153,7 @@
               {{"http", settings.http_address}, {"peer", settings.peer_address}});
     std::unique_ptr<poller> reporter;
     if (control) {
-        reporter = std::make_unique<poller>(k_evidence_interval, [&, peers = (*endpoint)->port()] {
+        reporter = std::make_unique<poller>(k_evidence_report_interval, [&, peers = (*endpoint)->port()] {
             report_evidence(settings, *service, peers, *views, *control);
         });
     }
--- a/tests/scenarios/fleet_world.cpp
+++ b/tests/scenarios/fleet_world.cpp
@@ -22,7 +22,7 @@
 
 constexpr milliseconds k_step{50};
 constexpr int k_steps_per_report = 5;
-constexpr std::uint64_t k_steps_per_evidence = 20;
+constexpr std::uint64_t k_steps_per_evidence = k_evidence_report_interval / k_step;
 // Time for the fleet to form before the scenario starts at time 0.
 constexpr milliseconds k_warm_up{6'000};
 constexpr milliseconds k_load_time{1'000};
@@ -482,7 +482,7 @@
         });
     }
 
-    // Entries report once per second, each in a different step.
+    // Entries report at the report interval, each in a different step.
     void send_evidence() {
         for_running_entries([this](const node_id& name, const exchange_node& node) {
             const auto phase = hash_bytes(name) % k_steps_per_evidence;
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -41,13 +41,13 @@
     double share;
     double seconds;
     bool expect_veto;
-    /// Longest time from the appearance of the defect to the veto, over all seeds. Reports take up to 1 s and
-    /// the evaluation rounds 2 s; routes on which the new version gets less than 10 requests a second take
-    /// longer.
+    /// Longest time from the appearance of the defect to the veto, over all seeds.
     double within_s;
-    /// Requests that fail at once when a target of the new version fails, and the interval of such failures.
+    /// Requests that fail when a target of the new version fails, the interval of such failures, and the time
+    /// from the first of these requests to the last.
     std::uint64_t burst = 0;
     double burst_every_s = 1e9;
+    double burst_lasts_s = 0.0;
 };
 
 constexpr rates k_broken{1.0, 1.0, 1.0};
@@ -85,53 +85,81 @@
     route_evidence new_sum;
 };
 
-// Simulates the traffic of one case through four entries that report once a second. Returns the time of the
+constexpr std::size_t k_entries = 4;
+constexpr double k_step_s = 0.05;
+constexpr std::size_t k_steps_per_report = k_evidence_report_interval / std::chrono::milliseconds{50};
+
+// The simulated traffic of one case through the entries.
+struct traffic_state {
+    std::mt19937_64 random;
+    evidence_table table;
+    std::vector<std::vector<route_sums>> sums;
+    // Times at which the remaining requests of the current burst fail.
+    std::vector<double> failing;
+    double next_burst = 0.0;
+};
+
+// Adds the traffic since the entry's previous report and delivers its report.
+void report_traffic(traffic_state& state, const traffic_case& test, std::size_t entry, double at) {
+    const move_config move = make_move();
+    const double mean_seconds = k_step_s * k_steps_per_report / k_entries;
+    evidence_message message;
+    for (std::size_t i = 0; i < test.routes.size(); ++i) {
+        const auto& route = test.routes[i];
+        auto& [old_sum, new_sum] = state.sums[entry][i];
+        old_sum.model = new_sum.model = move.model;
+        old_sum.version = move.from;
+        new_sum.version = move.to;
+        old_sum.route = new_sum.route = route.route;
+        const double mean = route.requests_per_second * mean_seconds;
+        const auto draw = [&](double share) {
+            return std::poisson_distribution<std::uint64_t>(mean * share)(state.random);
+        };
+        const auto old_requests = draw(1 - test.share);
+        const auto new_requests = draw(test.share);
+        message.items.push_back(add_traffic(old_sum, old_requests, route.old_rates, state.random));
+        message.items.push_back(add_traffic(new_sum, new_requests,
+                                            at >= route.later_at_s ? route.later_rates : route.new_rates,
+                                            state.random));
+    }
+    add_evidence(state.table, "e" + std::to_string(entry), message);
+}
+
+void fail_bursts(traffic_state& state, const traffic_case& test, double at) {
+    if (at >= state.next_burst) {
+        state.next_burst += test.burst_every_s;
+        for (std::uint64_t i = 0; i < test.burst; ++i) {
+            state.failing.push_back(
+                at + std::uniform_real_distribution<double>(0.0, test.burst_lasts_s)(state.random));
+        }
+    }
+    const auto due = std::partition(state.failing.begin(), state.failing.end(),
+                                    [at](double failing_at) { return failing_at > at; });
+    std::for_each(due, state.failing.end(), [&state](double) {
+        auto& sum = state.sums[state.random() % k_entries][0].new_sum;
+        ++sum.requests;
+        ++sum.failures;
+    });
+    state.failing.erase(due, state.failing.end());
+}
+
+// Simulates one case. Each entry reports in another step of the report interval. Returns the time of the
 // veto in seconds, or a negative number if there is none.
 double run_traffic(const traffic_case& test, std::uint64_t seed) {
-    constexpr std::size_t entries = 4;
-    std::mt19937_64 random(seed);
-    const move_config move = make_move();
-    evidence_table table;
+    traffic_state state;
+    state.random.seed(seed);
+    state.sums.assign(k_entries, std::vector<route_sums>(test.routes.size()));
+    state.next_burst = test.burst_every_s;
     move_evaluation evaluation;
-    std::vector<std::vector<route_sums>> sums(entries, std::vector<route_sums>(test.routes.size()));
-    double next_burst = test.burst_every_s;
-    const auto rounds = static_cast<int>(test.seconds * 4);
-    for (int round = 0; round < rounds; ++round) {
-        const double at = round * 0.25;
-        for (std::size_t entry = 0; entry < entries; ++entry) {
-            // Each entry reports once a second, at a different quarter of the second.
-            if (round % 4 != static_cast<int>(entry)) {
-                continue;
-            }
-            evidence_message message;
-            for (std::size_t i = 0; i < test.routes.size(); ++i) {
-                const auto& route = test.routes[i];
-                auto& [old_sum, new_sum] = sums[entry][i];
-                old_sum.model = new_sum.model = move.model;
-                old_sum.version = move.from;
-                new_sum.version = move.to;
-                old_sum.route = new_sum.route = route.route;
-                const double mean = route.requests_per_second / entries;
-                const auto old_requests =
-                    std::poisson_distribution<std::uint64_t>(mean * (1 - test.share))(random);
-                const auto new_requests = std::poisson_distribution<std::uint64_t>(mean * test.share)(random);
-                message.items.push_back(add_traffic(old_sum, old_requests, route.old_rates, random));
-                message.items.push_back(
-                    add_traffic(new_sum, new_requests,
-                                at >= route.later_at_s ? route.later_rates : route.new_rates, random));
-            }
-            add_evidence(table, "e" + std::to_string(entry), message);
+    const auto steps = static_cast<std::size_t>(test.seconds / k_step_s);
+    for (std::size_t step = 0; step < steps; ++step) {
+        const double at = static_cast<double>(step) * k_step_s;
+        if (step % k_steps_per_report < k_entries) {
+            report_traffic(state, test, step % k_steps_per_report, at);
         }
-        if (at >= next_burst) {
-            next_burst += test.burst_every_s;
-            for (std::uint64_t i = 0; i < test.burst; ++i) {
-                auto& sum = sums[random() % entries][0].new_sum;
-                ++sum.requests;
-                ++sum.failures;
-            }
-        }
-        const time_point now{std::chrono::milliseconds{1'000'000 + round * 250}};
-        if (evaluate_round(evaluation, table, move, 1, now)) {
+        fail_bursts(state, test, at);
+        const time_point now{std::chrono::milliseconds{1'000'000 + step * 50}};
+        if (evaluate_round(evaluation, state.table, make_move(), 1, k_entry_pace, now)) {
             return at;
         }
     }
@@ -153,6 +181,15 @@
         {"both overloaded", {{"a", 200, k_overloaded, k_overloaded}}, 0.25, 120, false, 0},
         {"little traffic", {{"a", 3, {}, {}}}, 0.05, 600, false, 0},
         {"targets of the new version fail", {{"a", 200, {}, {}}}, 0.1, 120, false, 0, 12, 20.0},
+        {"targets of the new version fail within 200 ms",
+         {{"a", 200, {}, {}}},
+         0.1,
+         120,
+         false,
+         0,
+         12,
+         20.0,
+         0.2},
     }));
     CAPTURE(test.name);
     int vetoed = 0;
@@ -188,12 +225,22 @@
     {"a fifth fails later", {{"a", 400, {}, {}, 60, k_failing}}, 0.5, 120, true, k_veto_goal_s},
 };
 
-// At these shares the new version gets 2.5 to 20 requests a second.
+// At these shares the new version gets 4 to 20 requests a second on the bad routes.
 const std::vector<traffic_case> k_low_share_defects{
     {"broken at once", {{"a", 400, {}, k_broken}}, 0.02, 60, true, k_veto_goal_s},
-    {"a fifth fails", {{"a", 400, {}, k_failing}}, 0.05, 60, true, k_veto_goal_s},
     {"slow first tokens", {{"a", 400, {}, k_slow}}, 0.05, 60, true, k_veto_goal_s},
     {"slow gaps", {{"a", 400, {}, k_slow_gaps}}, 0.05, 60, true, k_veto_goal_s},
+    {"broken on a route that the old version never served",
+     {{"a", 400, {}, {}}, {"b", 40, {}, k_broken}},
+     0.1,
+     60,
+     true,
+     k_veto_goal_s},
+};
+
+// In 3 s these routes yield 7.5 bad requests, 12 failures of 60, and 18 slow requests of 30 on average.
+const std::vector<traffic_case> k_sparse_defects{
+    {"a fifth fails", {{"a", 400, {}, k_failing}}, 0.05, 60, true, k_veto_goal_s},
     {"broken on one route of three",
      {{"a", 400, {}, {}}, {"b", 400, {}, {}}, {"c", 50, {}, k_broken}},
      0.05,
@@ -206,34 +253,33 @@
      90,
      true,
      k_veto_goal_s},
-    {"broken on a route that the old version never served",
-     {{"a", 400, {}, {}}, {"b", 40, {}, k_broken}},
-     0.1,
-     60,
-     true,
-     k_veto_goal_s},
 };
 
+std::vector<traffic_case> join(std::vector<traffic_case> first, const std::vector<traffic_case>& second) {
+    first.insert(first.end(), second.begin(), second.end());
+    return first;
+}
+
 // Guards against bad versions that are not vetoed.
 TEST_CASE("bad versions are vetoed at low shares") {
-    const auto test = GENERATE(from_range(k_low_share_defects));
+    const auto test = GENERATE(from_range(join(k_low_share_defects, k_sparse_defects)));
     CAPTURE(test.name);
     CHECK(slowest_veto(test) >= 0.0);
 }
 
 // Guards against vetoes that miss the goal of 3 s.
 TEST_CASE("bad versions are vetoed soon") {
-    const auto test = GENERATE(from_range(k_high_share_defects));
+    const auto test = GENERATE(from_range(join(k_high_share_defects, k_low_share_defects)));
     CAPTURE(test.name);
     const double slowest = slowest_veto(test);
     CHECK(slowest >= 0.0);
     CHECK(slowest <= test.within_s);
 }
 
-// Like the case above, at low shares. It misses the goal at present (see KNOWN-RED.txt), so it is hidden from
-// the default run.
+// Like the case above. It misses the goal at present (see KNOWN-RED.txt), so it is hidden from the default
+// run.
 TEST_CASE("bad versions are vetoed soon at low shares", "[.known-red]") {
-    const auto test = GENERATE(from_range(k_low_share_defects));
+    const auto test = GENERATE(from_range(k_sparse_defects));
     CAPTURE(test.name);
     CHECK(slowest_veto(test) <= test.within_s);
 }
