--- a/tools/measure.d/case_resume.py
+++ b/tools/measure.d/case_resume.py
@@ -72,7 +72,7 @@
 def add_proxy(fleet, engine, address):
     """Starts a fault proxy in front of an engine and returns the address of its listener."""
     number = engine.rsplit("-", 1)[1]
-    own, listen = (f"127.0.0.1:{fleets.free_port()}" for _ in range(2))
+    own, listen = (fleet.new_address() for _ in range(2))
     fleet.add(f"proxy-{number}", "lovage-fault-proxy",
               {"address": own, "listeners": ["engine"], "listener.engine": {"listen": listen, "target": address}})
     fleet.wait_http(own)
--- a/tools/measure.d/fleet.py
+++ b/tools/measure.d/fleet.py
@@ -3,16 +3,16 @@
 import json
 import os
 import pathlib
-import random
 import shutil
 import signal
-import socket
 import subprocess
 import tempfile
 import time
 import urllib.error
 import urllib.request
 
+import ports
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BIN = pathlib.Path(os.environ.get("LOVAGE_BIN_DIR", ROOT / "build" / "main" / "bin"))
 ZONES = ("ub-a", "ub-b", "ub-c")
@@ -23,31 +23,6 @@
     """A process of the fleet failed, timed out or gave an unexpected result."""
 
 
-# Below the ephemeral port range. Otherwise an outgoing connection of another process of the fleet could take a port
-# between this check and the start of its listener.
-PORTS = range(10000, 32000)
-allocated_ports = set()
-
-
-def free_port():
-    """Returns a loopback port that was free for TCP and UDP at the time of the call; never the same port twice."""
-    for port in random.SystemRandom().sample(PORTS, len(PORTS)):
-        if port not in allocated_ports and is_free(port):
-            allocated_ports.add(port)
-            return port
-    raise FleetError("no free port")
-
-
-def is_free(port):
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                return False
-    return True
-
-
 def toml_value(value):
     if isinstance(value, bool):
         return "true" if value else "false"
@@ -148,17 +123,24 @@
     def __init__(self, folder=None):
         self.folder = pathlib.Path(folder or tempfile.mkdtemp(prefix="lovage-fleet-"))
         self.processes = {}
-        self.platform = f"127.0.0.1:{free_port()}"
+        self.ports = []
+        self.platform = self.new_address()
         self.entries = {}
         self.agents = {}
         self.targets = {}
         self.seeds = []
+        self.keeps_folder = False
 
     def __enter__(self):
         return self
 
     def __exit__(self, kind, value, trace):
-        self.close(keep=kind is not None)
+        self.close(keep=self.keeps_folder or kind is not None)
+
+    def new_address(self):
+        """Returns a loopback address whose port is reserved until the fleet is closed."""
+        self.ports.append(ports.reserve_port())
+        return f"127.0.0.1:{self.ports[-1]}"
 
     def add(self, name, binary, settings):
         if name in self.processes and self.processes[name].is_running():
@@ -177,7 +159,7 @@
                    f"http://{address}{path} answers {status}; logs in {self.folder}")
 
     def start_engine(self, name, **settings):
-        address = f"127.0.0.1:{free_port()}"
+        address = self.new_address()
         values = {"address": address, "name": name, "platform": self.platform}
         values.update(settings)
         self.add(name, "lovage-fake-engine", values)
@@ -185,7 +167,7 @@
         self.wait_http(address)
 
     def start_service(self, name, **settings):
-        address = f"127.0.0.1:{free_port()}"
+        address = self.new_address()
         values = {"address": address}
         values.update(settings)
         self.add(name, "lovage-fake-service", values)
@@ -193,7 +175,7 @@
         self.wait_http(address)
 
     def common_settings(self, name, zone):
-        http_address, peer, gossip = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        http_address, peer, gossip = (self.new_address() for _ in range(3))
         settings = {"node": name, "zone": zone, "region": "ub", "http": {"address": http_address},
                     "peer": {"address": peer}, "gossip": {"address": gossip, "seeds": list(self.seeds)},
                     "store": {"address": self.platform}}
@@ -282,6 +264,8 @@
         for process in self.processes.values():
             if process.child is not None:
                 process.child.wait()
+        while self.ports:
+            ports.release(self.ports.pop())
         if not keep:
             shutil.rmtree(self.folder, ignore_errors=True)
 
