--- a/src/programs/lovage-entry/main.cpp
+++ b/src/programs/lovage-entry/main.cpp
@@ -25,7 +25,6 @@
 // The HTTP server counts a request from the end of its reading to the return of its handler. Requests that
 // are on their way when the last one ends, and answers that are being sent, get this long.
 constexpr milliseconds k_settle_time{500};
-constexpr milliseconds k_evidence_interval{1'000};
 
 incarnation start_incarnation() {
     return static_cast<incarnation>(wall_now().time_since_epoch().count());
@@ -163,7 +162,7 @@
               {{"http", settings.http_address}, {"peer", settings.peer_address}});
     std::unique_ptr<poller> reporter;
     if (control) {
-        reporter = std::make_unique<poller>(k_evidence_interval, [&, peers = (*endpoint)->port()] {
+        reporter = std::make_unique<poller>(k_evidence_report_interval, [&, peers = (*endpoint)->port()] {
             report_evidence(settings, *service, peers, *views, *control);
         });
     }
