Cancel a dial in progress when its node is removed

Cause: `disconnect` forgot the node but not the connection that was being opened to it. When that completed, the removed node was connected and in use; a node that had been added again lost its new connection to the old one ("opened again by the same node").

Change: a dial target holds its connection instead of a flag. `disconnect` closes one that has had no hello, at once or as soon as it opens, and only the last dialed connection schedules the next dial. Also looked for: a message that `send` accepted for a connection that is closing. It is always followed by the report of the disconnection, so a claimed call is sent again to its agent, which runs an id once, and a generation resumes. No change there; tests for it are new.

--- a/src/adapters/peer_endpoint.cpp
+++ b/src/adapters/peer_endpoint.cpp
@@ -100,7 +100,8 @@
 struct dial_target {
     std::string address;
     unsigned failures = 0;
-    bool is_in_progress = false;
+    /// The connection that was dialed last, until its end; null if there is none.
+    link_ptr link;
     std::shared_ptr<asio::steady_timer> timer;
 };
 
@@ -144,7 +145,8 @@
     void disconnect(const node_id& node);
     void dial(const node_id& node);
     void schedule_dial(const node_id& node);
-    void end_dial(const link_ptr& link);
+    bool end_dial(const link_ptr& link);
+    void cancel_dial(const link_ptr& link);
 
     link_ptr adopt_connection(const connection_type::ptr& connection, bool is_outgoing,
                               const node_id& dialed);
@@ -303,7 +305,11 @@
 void peer_endpoint::state::disconnect(const node_id& node) {
     if (const auto found = dials.find(node); found != dials.end()) {
         found->second.timer->cancel();
+        const link_ptr dialed = std::move(found->second.link);
         dials.erase(found);
+        if (dialed != nullptr && !dialed->hello) {
+            cancel_dial(dialed);
+        }
     }
     if (const link_ptr link = active_link(node)) {
         release(link, "disconnect requested");
@@ -314,7 +320,7 @@
 
 void peer_endpoint::state::dial(const node_id& node) {
     const auto found = dials.find(node);
-    if (is_stopping || found == dials.end() || found->second.is_in_progress || is_connected(node)) {
+    if (is_stopping || found == dials.end() || found->second.link != nullptr || is_connected(node)) {
         return;
     }
     websocketpp::lib::error_code code;
@@ -324,8 +330,8 @@
                   {{"node", node}, {"address", found->second.address}});
         return;
     }
-    found->second.is_in_progress = true;
     const link_ptr link = adopt_connection(connection, true, node);
+    found->second.link = link;
     connection->set_open_handler(
         [this, weak = std::weak_ptr<peer_link>(link)](const websocketpp::connection_hdl& /*handle*/) {
             if (const link_ptr opened = weak.lock()) {
@@ -355,12 +361,22 @@
     });
 }
 
-void peer_endpoint::state::end_dial(const link_ptr& link) {
-    if (!link->is_outgoing) {
-        return;
+// Returns whether the link was the last one that was dialed for its node, so that the node may be dialed
+// again.
+bool peer_endpoint::state::end_dial(const link_ptr& link) {
+    const auto found = dials.find(link->dialed);
+    if (!link->is_outgoing || found == dials.end() || found->second.link != link) {
+        return false;
     }
-    if (const auto found = dials.find(link->dialed); found != dials.end()) {
-        found->second.is_in_progress = false;
+    found->second.link.reset();
+    return true;
+}
+
+// Ends a connection that is not in use yet. One that is still being opened ends in `on_open`.
+void peer_endpoint::state::cancel_dial(const link_ptr& link) {
+    link->is_closed = true;
+    if (link->connection->get_state() == websocketpp::session::state::open) {
+        terminate(link);
     }
 }
 
@@ -399,6 +415,10 @@
 }
 
 void peer_endpoint::state::on_open(const link_ptr& link) {
+    if (link->is_closed) {
+        terminate(link);
+        return;
+    }
     boost::system::error_code ignored;
     link->connection->get_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     link->opened = monotonic_now();
@@ -486,11 +506,10 @@
 // The connection has ended or could not be opened.
 void peer_endpoint::state::on_closed(const link_ptr& link) {
     release(link, "connection closed");
-    end_dial(link);
     links.erase(link);
-    if (!link->dialed.empty()) {
+    if (end_dial(link)) {
         schedule_dial(link->dialed);
-    } else if (link->hello) {
+    } else if (!link->is_outgoing && link->hello) {
         // This side may have closed its own connection in favour of the peer's.
         schedule_dial(link->hello->node);
     }
--- a/tests/unit/peer_endpoint_test.cpp
+++ b/tests/unit/peer_endpoint_test.cpp
@@ -8,11 +8,15 @@
 #include "support/wait_until.h"
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
 #include <vector>
 
@@ -20,6 +24,8 @@
 
 namespace {
 
+namespace asio = boost::asio;
+
 // A node with an endpoint that records its events: "+node/incarnation" for a connection, "-node" for its end
 // and "node:text" for a message.
 class test_node {
@@ -274,6 +280,139 @@
     CHECK_FALSE(a.port.is_connected("b"));
 }
 
+enum class held_part : std::uint8_t { handshake, hello };
+
+// Stands between a client and a node and holds back the node's part of the handshake, or what follows it,
+// until `release`. Serves one connection.
+class holding_relay {
+public:
+    holding_relay(const std::string& node_address, held_part part)
+        : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}),
+          m_thread([this, node_address, part] { run(node_address, part); }) {}
+    ~holding_relay() {
+        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+        release();
+        m_thread.join();
+    }
+    holding_relay(const holding_relay&) = delete;
+    holding_relay& operator=(const holding_relay&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    void release() {
+        if (!m_is_released.exchange(true)) {
+            m_release.set_value();
+        }
+    }
+
+    std::atomic<bool> is_holding{false};
+
+private:
+    void run(const std::string& node_address, held_part part) {
+        const auto endpoint = parse_endpoint(node_address);
+        asio::ip::tcp::socket client(m_context);
+        asio::ip::tcp::socket node(m_context);
+        boost::system::error_code code;
+        m_acceptor.accept(client, code);
+        if (code) {
+            return;
+        }
+        node.connect({asio::ip::make_address(endpoint->ip), endpoint->port}, code);
+        std::string request;
+        asio::read_until(client, asio::dynamic_buffer(request), "\r\n\r\n", code);
+        asio::write(node, asio::buffer(request), code);
+        std::string held;
+        const std::size_t head = asio::read_until(node, asio::dynamic_buffer(held), "\r\n\r\n", code);
+        if (part == held_part::hello) {
+            asio::write(client, asio::buffer(held.substr(0, head)), code);
+            held.erase(0, head);
+        }
+        is_holding = true;
+        m_release.get_future().wait();
+        while (!code) {
+            asio::write(client, asio::buffer(held), code);
+            std::array<char, 4'096> chunk{};
+            const std::size_t size = code ? 0 : node.read_some(asio::buffer(chunk), code);
+            held.assign(chunk.data(), size);
+        }
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::promise<void> m_release;
+    std::atomic<bool> m_is_released{false};
+    std::thread m_thread;
+};
+
+struct late_dial_case {
+    const char* name;
+    held_part part;
+    bool added_again;
+};
+
+// Guards against a connection to a removed node, opened by a dial that was in progress at its removal, and
+// against a removal that ends the connection of a node that was added again.
+TEST_CASE("a dial that completes after the node's removal opens no connection") {
+    const auto test = GENERATE(from_range(std::vector<late_dial_case>{
+        {"during the handshake", held_part::handshake, false},
+        {"before the hello", held_part::hello, false},
+        {"during the handshake, added again", held_part::handshake, true},
+        {"before the hello, added again", held_part::hello, true},
+    }));
+    CAPTURE(test.name);
+    const std::string address = free_address();
+    test_node a("a", address);
+    holding_relay relay(address, test.part);
+    test_node b("b", free_address());
+    b.port.connect("a", relay.address());
+    REQUIRE(wait_until([&] { return relay.is_holding.load(); }));
+    b.port.disconnect("a");
+    if (test.added_again) {
+        b.port.connect("a", address);
+        REQUIRE(wait_until([&] { return b.count("+a/1") == 1; }));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    relay.release();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const std::vector<std::string> expected =
+        test.added_again ? std::vector<std::string>{"+a/1"} : std::vector<std::string>{};
+    CHECK(b.log() == expected);
+    CHECK(b.port.is_connected("a") == test.added_again);
+}
+
+// Guards against a message that `send` accepted for a connection that was closing: nothing was sent, and
+// without the report of a disconnection its sender would wait for a reply for ever.
+TEST_CASE("an accepted message is delivered or followed by a disconnection") {
+    const std::string address = free_address();
+    test_node a("a", address);
+    test_node b("b", free_address());
+    int lost = 0;
+    for (int round = 0; round < 20; ++round) {
+        b.port.connect("a", address);
+        REQUIRE(wait_until([&] { return b.port.is_connected("a") && a.port.is_connected("b"); }));
+        const std::size_t ends = b.count("-a");
+        std::vector<std::string> accepted;
+        for (int i = 0; b.count("-a") == ends && i < 100'000; ++i) {
+            const std::string text = std::to_string(round) + "." + std::to_string(i);
+            if (b.port.send("a", goodbye_message{text})) {
+                accepted.push_back("b:" + text);
+            }
+            if (i == 20) {
+                b.port.disconnect("a");
+            }
+        }
+        REQUIRE(b.count("-a") == ends + 1);
+        CHECK_FALSE(b.port.send("a", goodbye_message{"after the end"}));
+        REQUIRE(wait_until([&] { return a.count("-b") == ends + 1; }));
+        const auto received = a.log();
+        lost +=
+            static_cast<int>(std::count_if(accepted.begin(), accepted.end(), [&](const std::string& line) {
+                return std::find(received.begin(), received.end(), line) == received.end();
+            }));
+    }
+    INFO("messages accepted and not delivered: " << lost);
+    CHECK(b.count("-a") == 20);
+}
+
 // Guards against an unbounded send buffer for a peer that does not read.
 TEST_CASE("messages to a peer that does not read are refused") {
     const std::string address = free_address();
--- a/tests/unit/plain_call_test.cpp
+++ b/tests/unit/plain_call_test.cpp
@@ -10,7 +10,15 @@
 namespace {
 
 // How a fake agent responds to a call.
-enum class agent_behaviour : std::uint8_t { answers, busy, loses_connection, tombstoned, not_connected };
+enum class agent_behaviour : std::uint8_t {
+    answers,
+    busy,
+    loses_connection,
+    // The first message is accepted for a connection that closes; the next one reaches the agent.
+    reconnects,
+    tombstoned,
+    not_connected
+};
 
 struct fake_agent {
     agent_behaviour behaviour = agent_behaviour::answers;
@@ -51,6 +59,11 @@
     case agent_behaviour::loses_connection:
         waiters.on_disconnected(agent);
         return true;
+    case agent_behaviour::reconnects:
+        waiters.on_disconnected(agent);
+        waiters.on_connected(agent, agents.at(agent).running);
+        agents.at(agent).behaviour = agent_behaviour::answers;
+        return true;
     case agent_behaviour::not_connected:
         return false;
     }
@@ -113,6 +126,7 @@
     const fake_agent up{behaviour::answers, 1};
     const fake_agent busy{behaviour::busy, 1};
     const fake_agent lost{behaviour::loses_connection, 1};
+    const fake_agent reconnects{behaviour::reconnects, 1};
     const fake_agent restarted{behaviour::answers, 2};
     const fake_agent refused{behaviour::tombstoned, 1};
     const fake_agent gone{behaviour::not_connected, 1};
@@ -225,6 +239,15 @@
          error_kind::outcome_unknown,
          false,
          {"a"}},
+        {"claimed, sent on a connection that was closing",
+         false,
+         {{"a", reconnects}, {"b", up}},
+         store_mode::works,
+         10,
+         true,
+         error_kind::internal,
+         false,
+         {"a", "a"}},
         {"tombstone",
          false,
          {{"a", refused}},
