Do not ask the successor when the agent of the attempt still answers

Cause: after a pause, the loss of an attempt made the home ask its successor and wait 500 ms for an adoption, also when the agent itself had reported the failure on a connection that outlasted the pause, so that nobody can have taken the place of the home.

Change: a failure, refusal or gap that the agent's messages show confirms that this entry was the home; only the loss of the connection and silence leave it open.

Test: row "paused, the agent reports a failure" failed before (1 attempt, expected 2).

--- a/src/traffic/answer_session.cpp
+++ b/src/traffic/answer_session.cpp
@@ -741,6 +741,10 @@
     if (event == attempt_event::silent || event == attempt_event::gap) {
         m_context->peers.send(lost_node, cancel_message{current_ref()});
     }
+    if (event != attempt_event::connection_lost && event != attempt_event::silent) {
+        // The agent's message shows that this entry was still the home of the attempt.
+        m_confirmed_pauses = m_context->pauses().count;
+    }
     close_attempt();
     dispatch_next_attempt(event, now);
 }
--- a/tests/unit/answer_session_test.cpp
+++ b/tests/unit/answer_session_test.cpp
@@ -73,6 +73,8 @@
     has_answer_and_relay,
     // An attach of the successor from the time of the pause arrives before its answer.
     has_answer_after_attach,
+    // The agent's failure message arrives on a connection that outlasted the pause.
+    not_needed,
     unknown,
     unreachable
 };
@@ -90,6 +92,7 @@
 TEST_CASE("a home that was paused asks its successor before it continues an answer") {
     const auto test = GENERATE(from_range(std::vector<woken_home_case>{
         {"not paused", false, successor_reply::unknown, true},
+        {"paused, the agent reports a failure", true, successor_reply::not_needed, true},
         {"paused, the successor has taken the answer over", true, successor_reply::has_answer, false},
         {"paused, the successor's answer is cut off for a moment", true, successor_reply::has_answer_then_cut,
          false},
@@ -151,12 +154,17 @@
         ++pauses->count;
         pauses->last_end = monotonic_now();
     }
-    peers.set_connected(first, false);
-    context->targets->set_connected(first, 0);
     peers.set_connected("e2", test.reply != successor_reply::unreachable);
-    session->on_disconnected(first);
-    CHECK(attempts() == (test.is_paused ? 1 : 2));
-    if (test.is_paused && test.reply != successor_reply::unreachable) {
+    if (test.reply == successor_reply::not_needed) {
+        session->on_failed(first, failed_message{ref, error_kind::target_failed, "crash", false, 0});
+    } else {
+        peers.set_connected(first, false);
+        context->targets->set_connected(first, 0);
+        session->on_disconnected(first);
+    }
+    const bool asks = test.is_paused && test.reply != successor_reply::not_needed;
+    CHECK(attempts() == (asks ? 1 : 2));
+    if (asks && test.reply != successor_reply::unreachable) {
         const auto asked = peers.sent<attach_message>("e2");
         REQUIRE(asked.size() == 1);
         CHECK(asked[0].digest == 0);
@@ -164,7 +172,7 @@
     }
     const attempt_ref taken{request, ref.answer, ref.attempt};
     const bool is_taken =
-        test.reply != successor_reply::unknown && test.reply != successor_reply::unreachable;
+        asks && test.reply != successor_reply::unknown && test.reply != successor_reply::unreachable;
     if (is_taken) {
         if (test.reply == successor_reply::has_answer_and_relay) {
             attach_message attach;
