--- a/include/lovage/core/read_interval.h
+++ b/include/lovage/core/read_interval.h
@@ -30,9 +30,6 @@
     std::size_t live_peers = 0;
     /// Whether the store's last calls have succeeded.
     bool is_reliable = true;
-    /// Part of the interval that this pause takes, above 0 and at most 1. Processes that started together
-    /// read at different times if they draw it at random, so that one of them soon sees each change.
-    double interval_part = 1.0;
 };
 
 /// Returns the interval between two reads of a process with this many live peers. It grows with the fleet, so
--- a/include/lovage/core/store_follow.h
+++ b/include/lovage/core/store_follow.h
@@ -29,8 +29,6 @@
     bool is_read_spaced = false;
     /// No call is made before this time.
     time_point retry_at{};
-    /// Part of the interval that the pause before the next read of changes takes.
-    double interval_part = 1.0;
     /// Pause after the next failure.
     milliseconds backoff{100};
     /// Until this time, failed calls are expected to be followed by others.
@@ -82,17 +80,8 @@
 /// Records a page of the full read.
 void record_page(store_position& position, page_read page, time_point now);
 
-/// Changes that have been read.
-struct changes_read {
-    /// They are complete up to this revision.
-    std::uint64_t revision = 0;
-    bool has_changes = false;
-    /// Decides how long the pause before the next read is; in [0, 1).
-    double random_fraction = 0.0;
-};
-
-/// Records a read of changes.
-void record_changes(store_position& position, const changes_read& read, time_point now);
+/// Records a read of changes up to `revision`.
+void record_changes(store_position& position, std::uint64_t revision, bool has_changes, time_point now);
 
 /// Records a failed call, which is repeated after a pause: the pages read so far stay read.
 void record_failure(store_position& position, time_point now);
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -54,7 +54,7 @@
     void apply_event(gateway_event input, time_point now);
     void write_moves();
     void watch_store();
-    store_update read_changes(store_position& position, boot_time confirmed, double random_fraction) const;
+    store_update read_changes(store_position& position, boot_time confirmed) const;
     store_update read_page(store_position& position, boot_time confirmed) const;
     // Waits for `time`; returns false at once if the process stops.
     bool pause(milliseconds time);
@@ -119,8 +119,7 @@
     return update;
 }
 
-store_update gateway_control::state::read_changes(store_position& position, boot_time confirmed,
-                                                  double random_fraction) const {
+store_update gateway_control::state::read_changes(store_position& position, boot_time confirmed) const {
     store_update update;
     const auto sent_at = boot_now();
     const auto age = std::chrono::duration_cast<milliseconds>(sent_at - confirmed);
@@ -137,8 +136,7 @@
         // The watch timed out in the store, so there were no changes until then.
         update.confirmed = sent_at + wait;
     }
-    record_changes(position, {changes->revision, !changes->changes.empty(), random_fraction},
-                   monotonic_now());
+    record_changes(position, changes->revision, !changes->changes.empty(), monotonic_now());
     update.revision = changes->revision;
     update.changes = std::move(changes->changes);
     return update;
@@ -152,7 +150,7 @@
     auto step = wait_for_step(position);
     while (step != store_step::wait) {
         auto update = step == store_step::read_page ? read_page(position, confirmed)
-                                                    : read_changes(position, confirmed, fraction(random));
+                                                    : read_changes(position, confirmed);
         if (!update.failure) {
             confirmed = update.confirmed;
         } else if (update.failure->kind == error_kind::history_lost) {
--- a/src/core/read_interval.cpp
+++ b/src/core/read_interval.cpp
@@ -42,9 +42,8 @@
 
 milliseconds plan_read_pause(const read_progress& progress, const freshness_limits& limits) {
     const bool is_behind = progress.announced_revision > progress.revision;
-    const auto own =
-        scale(read_interval(progress.live_peers, limits, progress.is_reliable), progress.interval_part);
-    const auto interval = is_behind ? k_min_interval : std::max(own, k_min_interval);
+    const auto interval =
+        is_behind ? k_min_interval : read_interval(progress.live_peers, limits, progress.is_reliable);
     const auto left = std::chrono::ceil<milliseconds>(interval - progress.since_last_read);
     return std::max(left, milliseconds(0));
 }
--- a/src/core/store_follow.cpp
+++ b/src/core/store_follow.cpp
@@ -23,9 +23,6 @@
 // Pause between two pages while the rate limit is short.
 constexpr milliseconds k_rate_limited_page_pause{1'000};
 
-// The pause between two reads is drawn from this part of the interval up to all of it.
-constexpr double k_min_interval_part = 0.6;
-
 // Longest pause between two pages.
 constexpr milliseconds k_max_page_pause{1'000};
 
@@ -49,7 +46,7 @@
     if (position.is_read_spaced) {
         until_changes =
             plan_read_pause({now - position.last_read_at, position.revision, hints.announced_revision,
-                             live_peers, now >= position.unreliable_until, position.interval_part},
+                             live_peers, now >= position.unreliable_until},
                             limits);
     }
     if (until_changes <= milliseconds(0)) {
@@ -83,11 +80,10 @@
     position.retry_spread = store_position().retry_spread;
 }
 
-void record_changes(store_position& position, const changes_read& read, time_point now) {
-    position.revision = read.revision;
+void record_changes(store_position& position, std::uint64_t revision, bool has_changes, time_point now) {
+    position.revision = revision;
     position.last_read_at = now;
-    position.is_read_spaced = read.has_changes || position.has_more_pages;
-    position.interval_part = 1.0 - (1.0 - k_min_interval_part) * read.random_fraction;
+    position.is_read_spaced = has_changes || position.has_more_pages;
     position.backoff = store_position().backoff;
     position.retry_spread = store_position().retry_spread;
 }
