--- a/include/lovage/core/read_interval.h
+++ b/include/lovage/core/read_interval.h
@@ -28,15 +28,12 @@
     std::uint64_t announced_revision = 0;
     /// Number of live peers, which announce the changes that they read.
     std::size_t live_peers = 0;
-    /// Whether the store's last calls have succeeded.
-    bool is_reliable = true;
 };
 
 /// Returns the interval between two reads of a process with this many live peers. It grows with the fleet, so
 /// that the fleet as a whole reads at a constant rate, up to a part of the shortest limit: a process whose
-/// read fails once, or whose peers are silent, still meets all of them. After a failure the interval is
-/// shorter, so that a second one is made up for as well.
-milliseconds read_interval(std::size_t live_peers, const freshness_limits& limits, bool is_reliable);
+/// read fails once, or whose peers are silent, still meets all of them.
+milliseconds read_interval(std::size_t live_peers, const freshness_limits& limits);
 
 /// Returns how long to wait before the next read of changes; 0 if it is due.
 ///
--- a/include/lovage/core/store_follow.h
+++ b/include/lovage/core/store_follow.h
@@ -31,8 +31,6 @@
     time_point retry_at{};
     /// Pause after the next failure.
     milliseconds backoff{100};
-    /// Until this time, failed calls are expected to be followed by others.
-    time_point unreliable_until{};
     /// Time over which the next call that exceeds the store's rate limit is repeated.
     milliseconds retry_spread{250};
     /// Until this time, the rate limit is taken to be short for the whole fleet.
--- a/src/core/store_follow.cpp
+++ b/src/core/store_follow.cpp
@@ -11,9 +11,6 @@
 // may be lost.
 constexpr milliseconds k_max_backoff{500};
 
-// After a failed call, reads are closer to each other for this long.
-constexpr milliseconds k_unreliable_period{10'000};
-
 // Calls are rare for this long after one that exceeded the rate limit.
 constexpr milliseconds k_rate_limited_period{10'000};
 // A period of 2 s spreads the calls of 340 processes to 170 a second.
@@ -44,10 +41,8 @@
     const auto live_peers = is_rate_limited ? k_many_peers : hints.live_peers;
     milliseconds until_changes{0};
     if (position.is_read_spaced) {
-        until_changes =
-            plan_read_pause({now - position.last_read_at, position.revision, hints.announced_revision,
-                             live_peers, now >= position.unreliable_until},
-                            limits);
+        until_changes = plan_read_pause(
+            {now - position.last_read_at, position.revision, hints.announced_revision, live_peers}, limits);
     }
     if (until_changes <= milliseconds(0)) {
         return {store_step::read_changes};
@@ -90,7 +85,6 @@
 
 void record_failure(store_position& position, time_point now) {
     position.retry_at = now + position.backoff;
-    position.unreliable_until = now + k_unreliable_period;
     position.backoff = std::min(position.backoff * 2, k_max_backoff);
 }
 
