--- a/include/lovage/control/gateway_control.h
+++ b/include/lovage/control/gateway_control.h
@@ -29,13 +29,16 @@
 };
 
 /// Runs the single thread that changes the gateway's control state, a thread that watches the store for
-/// changes, and a thread that writes the records of moves to the store.
+/// changes, and a thread that writes the records of moves and of quarantined prompts to the store.
 class gateway_control {
 public:
     static std::unique_ptr<gateway_control> start(gateway_control_ports ports);
     /// Queues evidence about versions for the control thread without blocking. Returns false if the queue is
     /// at least half full; the rest is kept free for updates from the store. May be called from any thread.
     bool post(move_evidence evidence);
+    /// Queues quarantined prompt parts, which are kept in the store for `k_crash_retention`, without
+    /// blocking. Returns false if the queue is full. May be called from any thread.
+    bool post(quarantine_record record);
     /// Records that a peer has read a change with this revision; the store is then read early. Does not block
     /// for long. May be called from any thread.
     void announce_revision(std::uint64_t revision);
--- a/include/lovage/control/gateway_documents.h
+++ b/include/lovage/control/gateway_documents.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovage/core/move_record.h"
+#include "lovage/core/prompt_quarantine.h"
 #include "lovage/core/result.h"
 #include "lovage/core/rollout_order.h"
 #include "lovage/core/route_table.h"
@@ -16,9 +17,10 @@
 
 /// A stored value that gateways do not use.
 struct ignored_document {};
-/// A decoded store value that gateways watch, other than target registrations: a route table, rollout order
-/// or move record (the state of the rollout of another version).
-using watched_document = std::variant<ignored_document, route_table, rollout_order, move_record>;
+/// A decoded store value that gateways watch, other than target registrations: a route table, rollout order,
+/// move record (the state of the rollout of another version) or quarantined prompt parts.
+using watched_document =
+    std::variant<ignored_document, route_table, rollout_order, move_record, quarantine_record>;
 
 /// The keys and encodings of the store values that a gateway watches and writes. The functions are stateless
 /// and may be called from any thread.
@@ -39,6 +41,8 @@
     std::function<std::string(const std::string& service)> move_key;
     /// The writes that store a record: the record itself and the rollout status for the operators.
     std::function<std::vector<store_put>(const move_record&)> encode_move;
+    /// The write that stores quarantined prompt parts; the same parts have the same key.
+    std::function<store_put(const quarantine_record&)> encode_quarantine;
 };
 
 } // namespace lovage
--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -81,6 +81,8 @@
     /// Targets by id.
     std::map<std::string, known_target> targets;
     gateway_moves moves;
+    /// Quarantined prompt parts, by the store's keys.
+    std::map<std::string, quarantine_record> quarantines;
     store_health health;
     /// Whether targets have been read since the start, or a full read has found none.
     bool has_targets = false;
--- a/include/lovage/control/gateway_view.h
+++ b/include/lovage/control/gateway_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovage/core/boot_time.h"
+#include "lovage/core/prompt_quarantine.h"
 #include "lovage/core/route_table.h"
 #include "lovage/core/target_record.h"
 #include "lovage/core/version_split.h"
@@ -25,6 +26,8 @@
     std::shared_ptr<const std::map<std::string, target_list>> targets;
     /// How new requests are split between versions, for services with a move (rollout of another version).
     std::map<std::string, version_split> splits;
+    /// Prompt parts that the store lists as quarantined, by its keys.
+    std::map<std::string, quarantine_record> quarantines;
     /// When `table` was last confirmed to be the newest configuration in the store.
     boot_time table_confirmed{0};
     /// Newest revision of the store with a change that this view contains.
--- a/include/lovage/core/prompt_quarantine.h
+++ b/include/lovage/core/prompt_quarantine.h
@@ -34,6 +34,16 @@
     time_point at{};
 };
 
+/// Parts that are quarantined together for one service, as the store keeps them beyond the processes.
+struct quarantine_record {
+    std::string service;
+    std::vector<std::string> parts;
+
+    friend bool operator==(const quarantine_record& a, const quarantine_record& b) {
+        return a.service == b.service && a.parts == b.parts;
+    }
+};
+
 /// Crashes and later successes that this process knows of, its own and those of its peers. Sets that only
 /// grow until they expire, so that reports may arrive late, twice or in any order.
 struct prompt_quarantine {
@@ -72,6 +82,10 @@
 std::vector<std::string> quarantined_parts(const prompt_quarantine& quarantine, const std::string& service,
                                            const std::vector<std::string>& parts);
 
+/// Quarantines the parts of a record. All processes add crashes with the same ids, so that reports of them do
+/// not count anew. A later success of a part clears it, as after any crash.
+void restore_quarantine(prompt_quarantine& quarantine, const quarantine_record& record, time_point now);
+
 /// Returns at most `limit` crashes for a report: the newest ones, then the others in turn.
 std::vector<prompt_crash> crashes_to_report(prompt_quarantine& quarantine, std::size_t limit);
 
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -79,6 +79,9 @@
     std::map<std::pair<std::string, std::string>, zone_failures> zones;
     peer_exchange peers;
     prompt_quarantine quarantine;
+    /// Called with parts that a crash at this process has quarantined, to keep them beyond a restart of all
+    /// processes; null function for none.
+    std::function<void(quarantine_record)> on_quarantine;
     version_observer versions;
     /// When the stop signal arrived.
     std::optional<time_point> shutdown_requested_at;
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -28,18 +29,22 @@
 // Interval at which the writer thread offers a result again while the queue of events is full.
 constexpr milliseconds k_result_retry_interval{100};
 
+// Interval at which the writer thread repeats a write of quarantined prompts while the store is away.
+constexpr milliseconds k_quarantine_retry_interval{1'000};
+
 // Longest wait of the writer thread before it checks again whether it must stop.
 constexpr milliseconds k_idle_wait{60'000};
 
 } // namespace
 
 using gateway_event = std::variant<store_update, move_evidence, move_write_result>;
+using store_write = std::variant<move_write, quarantine_record>;
 
 struct gateway_control::state {
     gateway_control_ports ports;
     gateway_state gateway;
     event_queue<gateway_event> events{k_queue_capacity};
-    event_queue<move_write> writes{k_queue_capacity};
+    event_queue<store_write> writes{k_queue_capacity};
     std::mutex mutex;
     std::condition_variable wakeup;
     bool is_stopping = false;
@@ -52,7 +57,10 @@
 
     void run();
     void apply_event(gateway_event input, time_point now);
-    void write_moves();
+    void write_records();
+    void write_move(const move_write& write);
+    // Returns false if the write must be repeated.
+    bool write_quarantine(const quarantine_record& record);
     void watch_store();
     store_update read_changes(store_position& position, boot_time confirmed) const;
     store_update read_page(store_position& position, boot_time confirmed) const;
@@ -180,24 +188,53 @@
     }
 }
 
-void gateway_control::state::write_moves() {
+void gateway_control::state::write_move(const move_write& write) {
+    auto revision = ports.writes.write_together(ports.documents.move_key(write.service), write.expected,
+                                                ports.documents.encode_move(write.record));
+    ports.log({log_level::info,
+               "move_written",
+               {{"move", write.record.id},
+                {"phase", std::string(name_of(k_move_phase_names, write.record.phase))},
+                {"expected", std::to_string(write.expected)},
+                {"outcome", revision ? "ok" : std::string(to_string(revision.error().kind))}}});
+    // The next write of the service waits for this result, so it must not be lost while the queue is full.
+    const move_write_result written{write.service, std::move(revision)};
+    while (!events.push(written) && pause(k_result_retry_interval)) {
+    }
+}
+
+bool gateway_control::state::write_quarantine(const quarantine_record& record) {
+    const auto put = ports.documents.encode_quarantine(record);
+    const auto written = ports.writes.grant_lease(k_crash_retention).and_then([&](lease_id lease) {
+        return ports.writes.compare_and_swap(put.key, put.value, 0, lease);
+    });
+    // Another process has written the same parts.
+    const bool is_known = !written && written.error().kind == error_kind::revision_conflict;
+    ports.log({log_level::info,
+               "quarantine_written",
+               {{"key", put.key},
+                {"service", record.service},
+                {"outcome", written ? "ok" : std::string(to_string(written.error().kind))}}});
+    return written || is_known;
+}
+
+void gateway_control::state::write_records() {
+    std::deque<quarantine_record> quarantines;
+    time_point next_quarantine{};
     while (!writes.is_closed()) {
-        auto write = writes.pop_until(monotonic_now() + k_idle_wait);
-        if (!write) {
-            continue;
+        const auto now = monotonic_now();
+        if (!quarantines.empty() && now >= next_quarantine) {
+            if (write_quarantine(quarantines.front())) {
+                quarantines.pop_front();
+            } else {
+                next_quarantine = now + k_quarantine_retry_interval;
+            }
         }
-        auto revision = ports.writes.write_together(ports.documents.move_key(write->service), write->expected,
-                                                    ports.documents.encode_move(write->record));
-        ports.log({log_level::info,
-                   "move_written",
-                   {{"move", write->record.id},
-                    {"phase", std::string(name_of(k_move_phase_names, write->record.phase))},
-                    {"expected", std::to_string(write->expected)},
-                    {"outcome", revision ? "ok" : std::string(to_string(revision.error().kind))}}});
-        // The next write of the service waits for this result, so it must not be lost while the queue is
-        // full.
-        const move_write_result written{write->service, std::move(revision)};
-        while (!events.push(written) && pause(k_result_retry_interval)) {
+        auto write = writes.pop_until(quarantines.empty() ? now + k_idle_wait : next_quarantine);
+        if (write && std::holds_alternative<move_write>(*write)) {
+            write_move(std::get<move_write>(*write));
+        } else if (write) {
+            quarantines.push_back(std::move(std::get<quarantine_record>(*write)));
         }
     }
 }
@@ -244,7 +281,7 @@
     own.gateway.moves.limits = own.ports.moves;
     own.control = std::thread([&own] { own.run(); });
     own.watcher = std::thread([&own] { own.watch_store(); });
-    own.writer = std::thread([&own] { own.write_moves(); });
+    own.writer = std::thread([&own] { own.write_records(); });
     return control;
 }
 
@@ -252,6 +289,10 @@
     return m_state->events.push(std::move(evidence), k_queue_capacity / 2);
 }
 
+bool gateway_control::post(quarantine_record record) {
+    return m_state->writes.push(std::move(record));
+}
+
 void gateway_control::announce_revision(std::uint64_t revision) {
     m_state->announce(revision);
 }
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -79,8 +79,16 @@
     record_change(state, revision);
 }
 
+void adopt_quarantine(gateway_state& state, const std::string& key, const quarantine_record& record) {
+    if (state.quarantines.emplace(key, record).second) {
+        add_log(state, log_level::info, "quarantine_known",
+                {{"key", key}, {"service", record.service}, {"parts", std::to_string(record.parts.size())}});
+    }
+}
+
 void apply_operator_change(gateway_state& state, const store_change& change, time_point now) {
     if (!change.value) {
+        state.quarantines.erase(change.key);
         remove_rollout_order(state.moves, state.documents.rollout_service(change.key));
         return;
     }
@@ -94,6 +102,8 @@
         adopt_rollout(state, *order, now);
     } else if (const auto* record = std::get_if<move_record>(&*document)) {
         adopt_record(state, *record, change.value->revision);
+    } else if (const auto* quarantine = std::get_if<quarantine_record>(&*document)) {
+        adopt_quarantine(state, change.key, *quarantine);
     }
 }
 
@@ -314,7 +324,8 @@
     auto splits = make_splits(state.moves, now, wall);
     const bool is_same = state.view->table == state.table && !state.is_targets_changed &&
                          state.view->table_confirmed == state.table_confirmed &&
-                         state.view->splits == splits && state.view->newest_change == state.newest_change;
+                         state.view->splits == splits && state.view->quarantines == state.quarantines &&
+                         state.view->newest_change == state.newest_change;
     if (is_same) {
         return state.view;
     }
@@ -324,6 +335,7 @@
     view->table_confirmed = state.table_confirmed;
     view->newest_change = state.newest_change;
     view->splits = std::move(splits);
+    view->quarantines = state.quarantines;
     if (state.has_targets && std::exchange(state.is_targets_changed, false)) {
         view->targets = list_usable_targets(state);
     }
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "lovage/core/prompt_quarantine.h"
 
+#include "lovage/core/ids.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -143,6 +145,17 @@
     return {};
 }
 
+void restore_quarantine(prompt_quarantine& quarantine, const quarantine_record& record, time_point now) {
+    std::uint64_t id = hash_bytes(record.service);
+    for (const auto& part : record.parts) {
+        id = hash_bytes(part, id);
+    }
+    for (std::size_t i = 0; i < k_crashes_to_quarantine; ++i) {
+        const auto at = now - k_crash_moment * static_cast<std::int64_t>(i);
+        record_crash(quarantine, {id + i, record.service, "", record.parts, at}, now);
+    }
+}
+
 std::vector<prompt_crash> crashes_to_report(prompt_quarantine& quarantine, std::size_t limit) {
     const auto& crashes = quarantine.crashes;
     const auto newest = std::min(crashes.size(), (limit + 1) / 2);
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -211,6 +211,11 @@
         }
     });
     m_control = gateway_control::start(make_control_ports());
+    m_traffic.on_quarantine = [this](quarantine_record record) {
+        if (m_control && !m_control->post(std::move(record))) {
+            log_event(log_level::warning, "quarantine_dropped", {{"detail", "the queue of writes is full"}});
+        }
+    };
     wait_for_stop();
     wait_for_reload();
     log_event(log_level::info, "started",
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -314,6 +314,11 @@
     if (before->newest_change != traffic.view->newest_change) {
         schedule_report(traffic);
     }
+    for (const auto& [key, record] : traffic.view->quarantines) {
+        if (before->quarantines.count(key) == 0) {
+            restore_quarantine(traffic.quarantine, record, traffic.timers.now());
+        }
+    }
     if (before->targets == traffic.view->targets || !before->targets) {
         return;
     }
--- a/src/traffic/prompt_crashes.cpp
+++ b/src/traffic/prompt_crashes.cpp
@@ -41,6 +41,10 @@
                           {"target", target_id},
                           {"reported_by", reported_by},
                           {"crashes", std::to_string(quarantine.crashes.size())}});
+        // The process at which it happened stores the parts, so that not all of them write.
+        if (traffic.on_quarantine && reported_by == traffic.peers.node) {
+            traffic.on_quarantine({service, quarantined});
+        }
     }
     return true;
 }
--- a/tests/unit/gateway_control_test.cpp
+++ b/tests/unit/gateway_control_test.cpp
@@ -119,7 +119,7 @@
     ports.publish = [&](const gateway_view_ptr&) { control_gate.pass(); };
     const auto control = gateway_control::start(std::move(ports));
     control->set_live_peers(3'000);
-    CHECK(control->post({}));
+    CHECK(control->post(move_evidence{}));
     CHECK(wait_until([&] { return writes == 1; }));
     control_gate.set_open(false);
     const int reads = store.full_reads;
@@ -134,6 +134,42 @@
     CHECK(wait_until([&] { return writes >= 2; }));
 }
 
+struct quarantine_write_case {
+    const char* name;
+    /// Outcomes of the writes, the last one of all further ones.
+    std::vector<std::optional<error_kind>> outcomes;
+    int writes;
+};
+
+// Guards against a quarantine that is lost because the store was away, and against writes without end.
+TEST_CASE("quarantined prompts are written until the store holds them") {
+    const auto test = GENERATE(from_range(std::vector<quarantine_write_case>{
+        {"written", {std::nullopt}, 1},
+        {"written by another process", {error_kind::revision_conflict}, 1},
+        {"the store was away", {error_kind::store_unavailable, std::nullopt}, 2},
+    }));
+    CAPTURE(test.name);
+    busy_store store;
+    auto ports = make_ports(store);
+    std::atomic<int> writes{0};
+    ports.writes.grant_lease = [](milliseconds ttl) -> result<lease_id> {
+        return ttl == k_crash_retention ? result<lease_id>(7) : fail(error_kind::not_found, "scripted");
+    };
+    ports.writes.compare_and_swap = [&](const std::string&, const std::string&, std::uint64_t expected,
+                                        lease_id lease) -> result<std::uint64_t> {
+        const auto number = static_cast<std::size_t>(writes++);
+        const auto outcome = test.outcomes.at(std::min(number, test.outcomes.size() - 1));
+        if (outcome || expected != 0 || lease != 7) {
+            return fail(outcome.value_or(error_kind::not_found), "scripted");
+        }
+        return 9;
+    };
+    const auto control = gateway_control::start(std::move(ports));
+    CHECK(control->post(quarantine_record{"s", {"x"}}));
+    CHECK(wait_until([&] { return writes == test.writes; }));
+    CHECK_FALSE(wait_until([&] { return writes > test.writes; }, std::chrono::milliseconds(1'200)));
+}
+
 // A store with a configuration and one target on each page.
 struct paged_store {
     int pages = 2;
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -322,6 +322,41 @@
     CHECK(view_of(state)->table);
 }
 
+struct stored_quarantine_case {
+    const char* name;
+    std::string value;
+    bool is_removed;
+    std::size_t known;
+};
+
+// Guards against a stored quarantine that is not in force, or that outlives its record, and against a
+// malformed one that crashes the process.
+TEST_CASE("a view holds the quarantines that the store lists") {
+    const auto documents = platform::make_documents();
+    const auto put = documents.encode_quarantine({"s", {"a", "x"}});
+    CHECK(put.key == documents.encode_quarantine({"s", {"a", "x"}}).key);
+    CHECK(put.key != documents.encode_quarantine({"s", {"x"}}).key);
+    const auto test = GENERATE_COPY(from_range(std::vector<stored_quarantine_case>{
+        {"listed", put.value, false, 1},
+        {"its lease has ended", put.value, true, 0},
+        {"no parts", R"({"service":"s","parts":[]})", false, 0},
+        {"not JSON", "{", false, 0},
+        {"another type", R"({"service":"s","parts":"a"})", false, 0},
+    }));
+    CAPTURE(test.name);
+    auto state = make_state();
+    apply_store_update(state, full_read({config(1, 1), {put.key, store_value{test.value, 2}}}), at_ms(0));
+    if (test.is_removed) {
+        CHECK(view_of(state)->quarantines.size() == 1);
+        apply_store_update(state, changes_only({{put.key, std::nullopt}}), at_ms(1));
+    }
+    const auto view = view_of(state);
+    REQUIRE(view->quarantines.size() == test.known);
+    if (test.known > 0) {
+        CHECK(view->quarantines.begin()->second == quarantine_record{"s", {"a", "x"}});
+    }
+}
+
 // Guards against a process that accepts API keys for longer than the configuration's last confirmation
 // allows.
 TEST_CASE("only successful calls confirm the configuration") {
--- a/tests/unit/prompt_crashes_test.cpp
+++ b/tests/unit/prompt_crashes_test.cpp
@@ -134,6 +134,40 @@
     CHECK(generate(second, 10) == is_cleared);
 }
 
+// Guards against a quarantine that ends with a restart of all processes, and against one write of each
+// process.
+TEST_CASE("the process at which a prompt is quarantined keeps the parts for its successors") {
+    fake_gateway first;
+    fake_gateway second;
+    std::vector<quarantine_record> stored;
+    for (auto* gateway : {&first, &second}) {
+        gateway->publish(request_kind::streaming, 5, 20);
+        gateway->prompt = {{"deadly", 800}, {"own", 7'000}};
+        gateway->traffic.peers.node = gateway == &first ? "first" : "second";
+        gateway->traffic.peers.address = gateway->traffic.peers.node + ":7000";
+        gateway->traffic.on_quarantine = [&stored](quarantine_record record) {
+            stored.push_back(std::move(record));
+        };
+    }
+    CHECK(crash_all_attempts(first) == k_crashes_to_quarantine);
+    second.advance(milliseconds(20'000));
+    pass_report(first, second);
+    REQUIRE(stored.size() == 1);
+    CHECK(stored[0] == quarantine_record{"service", {"deadly"}});
+
+    const bool is_stored = GENERATE(true, false);
+    fake_gateway restarted;
+    restarted.publish(request_kind::streaming, 5, 20);
+    restarted.prompt = {{"deadly", 800}, {"another", 7'000}};
+    auto view = std::make_shared<gateway_view>(*restarted.traffic.view);
+    ++view->sequence;
+    if (is_stored) {
+        view->quarantines["key"] = stored[0];
+    }
+    apply_view(restarted.traffic, view);
+    CHECK(generate(restarted, 1) == !is_stored);
+}
+
 } // namespace
 
 } // namespace lovage
--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -24,8 +24,7 @@
     parts_list quarantined;
 };
 
-prompt_quarantine play(const std::vector<step>& steps) {
-    prompt_quarantine quarantine;
+void apply_steps(prompt_quarantine& quarantine, const std::vector<step>& steps) {
     std::uint64_t id = 0;
     for (const auto& each : steps) {
         const auto at = k_start + milliseconds(each.at_ms);
@@ -36,6 +35,11 @@
             record_crash(quarantine, {id, "service", "t" + std::to_string(id), each.parts, at}, at);
         }
     }
+}
+
+prompt_quarantine play(const std::vector<step>& steps) {
+    prompt_quarantine quarantine;
+    apply_steps(quarantine, steps);
     return quarantine;
 }
 
@@ -71,6 +75,36 @@
     CHECK(quarantined_parts(quarantine, "other service", test.prompt).empty());
 }
 
+struct restored_case {
+    const char* name;
+    std::vector<quarantine_record> records;
+    std::vector<step> steps;
+    parts_list prompt;
+    parts_list quarantined;
+};
+
+// Guards against a fleet that loses its engines to the same prompts again after a restart of all processes,
+// and against a stored quarantine that a success cannot lift.
+TEST_CASE("a stored quarantine is in force like a learned one") {
+    const auto test = GENERATE(from_range(std::vector<restored_case>{
+        {"all parts", {{"service", {"a", "x"}}}, {}, {"a", "x", "y"}, {"a", "x"}},
+        {"some of the parts", {{"service", {"a", "x"}}}, {}, {"a", "y"}, {}},
+        {"another service", {{"other", {"a", "x"}}}, {}, {"a", "x"}, {}},
+        {"twice", {{"service", {"x"}}, {"service", {"x"}}}, {}, {"x"}, {"x"}},
+        {"one crash narrows it", {{"service", {"a", "x"}}}, {{800, {"b", "x"}}}, {"b", "x"}, {"x"}},
+        {"a sound part", {{"service", {"a", "x"}}}, {{800, {"a"}, true}}, {"b", "x"}, {"x"}},
+        {"a success lifts it", {{"service", {"x"}}}, {{800, {"x"}, true}}, {"x"}, {}},
+    }));
+    CAPTURE(test.name);
+    prompt_quarantine quarantine;
+    for (const auto& record : test.records) {
+        restore_quarantine(quarantine, record, k_start);
+    }
+    CHECK(quarantine.crashes.size() == k_crashes_to_quarantine);
+    apply_steps(quarantine, test.steps);
+    CHECK(quarantined_parts(quarantine, "service", test.prompt) == test.quarantined);
+}
+
 // Guards against counting a crash again that arrives in several reports, and against lists without a bound.
 TEST_CASE("crashes of other processes count once") {
     prompt_quarantine quarantine;
