--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -84,43 +84,69 @@
     m_phase = session_phase::reading;
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->header_limit(static_cast<std::uint32_t>(limits().header_bytes));
-    m_parser->body_limit(limits().body_bytes);
     m_has_request_bytes = false;
     m_is_continue_sent = false;
     m_is_answered = false;
     m_is_chunked = false;
-    arm_timer(limits().idle_timeout);
+    start_idle_time();
     if (m_buffer.size() > 0) {
         parse();
     }
 }
 
+void caller_session::start_idle_time() {
+    m_idle_since = monotonic_now();
+    arm_timer(limits().idle_timeout);
+}
+
+// A request is read by the limits that are in force when it begins, whatever the operators publish meanwhile.
+void caller_session::begin_request() {
+    m_first_byte = monotonic_now();
+    m_request_limits = limits();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_request_limits.header_bytes));
+    m_parser->body_limit(m_request_limits.body_bytes);
+    arm_timer(m_request_limits.header_timeout);
+}
+
 void caller_session::arm_timer(milliseconds delay) {
     m_timer.start(delay, [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (!self || self->is_request_parsed() || self->m_phase == session_phase::closed) {
-            return;
-        }
-        if (self->m_phase == session_phase::reading && self->m_has_request_bytes) {
-            self->m_keeps_alive = false;
-            self->reply_encoded({408, "Request Timeout", {}, ""});
-            return;
+        if (const auto self = weak.lock()) {
+            self->on_timer();
         }
-        if (self->is_sending()) {
-            // The caller is still reading its last answer; the idle time begins after it.
+    });
+}
+
+void caller_session::on_timer() {
+    if (is_request_parsed() || m_phase == session_phase::closed) {
+        return;
+    }
+    if (m_phase == session_phase::reading && m_has_request_bytes) {
+        m_keeps_alive = false;
+        reply_encoded({408, "Request Timeout", {}, ""});
+        return;
+    }
+    if (is_sending()) {
+        // The caller is still reading its last answer; the idle time begins after it.
+        return;
+    }
+    if (m_phase == session_phase::reading) {
+        // The limit may have been raised since the connection became idle.
+        const auto left =
+            std::chrono::ceil<milliseconds>(m_idle_since + limits().idle_timeout - monotonic_now());
+        if (left > milliseconds(0)) {
+            arm_timer(left);
             return;
         }
-        self->close();
-    });
+    }
+    close();
 }
 
 milliseconds caller_session::body_time_left() const {
     const auto received = m_parser->get().body().size();
-    const auto allowed = limits().header_timeout + limits().idle_timeout +
+    const auto allowed = m_request_limits.header_timeout + m_request_limits.idle_timeout +
                          milliseconds(static_cast<std::int64_t>(received * 1'000 / k_min_body_rate));
     const auto left = std::chrono::ceil<milliseconds>(m_first_byte + allowed - monotonic_now());
-    return std::clamp(left, milliseconds(0), limits().idle_timeout);
+    return std::clamp(left, milliseconds(0), m_request_limits.idle_timeout);
 }
 
 void caller_session::read() {
@@ -168,8 +194,7 @@
 
 void caller_session::parse() {
     if (!std::exchange(m_has_request_bytes, true)) {
-        m_first_byte = monotonic_now();
-        arm_timer(limits().header_timeout);
+        begin_request();
     }
     error_code failure;
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
@@ -343,7 +368,7 @@
         if (m_closes_after_write) {
             linger();
         } else if (m_phase == session_phase::reading && !m_has_request_bytes) {
-            arm_timer(limits().idle_timeout);
+            start_idle_time();
         }
         return;
     }
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -47,6 +47,8 @@
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void expect_request();
+    void begin_request();
+    void start_idle_time();
     void read();
     void handle_bytes(const boost::system::error_code& failure, std::size_t bytes);
     void parse();
@@ -66,11 +68,13 @@
     void linger();
     void close();
     void arm_timer(milliseconds delay);
+    void on_timer();
     /// Time until the next part of the request's body must have arrived.
     milliseconds body_time_left() const;
     /// Whether bytes that arrive belong to a later request than the one that the parser holds.
     bool is_request_parsed() const;
     bool is_sending() const { return m_is_writing || !m_pending.empty(); }
+    /// Limits of the newest configuration.
     const caller_limits& limits() const;
 
     boost::asio::ip::tcp::socket m_socket;
@@ -83,6 +87,9 @@
     std::shared_ptr<proxied_request> m_request;
     session_phase m_phase = session_phase::reading;
     time_point m_first_byte{};
+    time_point m_idle_since{};
+    /// Limits of the request that is being read.
+    caller_limits m_request_limits;
     bool m_has_request_bytes = false;
     bool m_is_reading = false;
     /// Whether the read in progress was ended to close the connection.
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds k_idle_timeout{60};
 constexpr milliseconds k_header_timeout{100};
 constexpr milliseconds k_max_write_silence{150};
+constexpr caller_limits k_limits{1'024, 30'000, k_header_timeout, k_idle_timeout};
 constexpr const char* k_head_start = "GET /r/x HTTP/1.1\r\nHost: host\r\n";
 constexpr const char* k_head_end = "Request-Id: id\r\nAuthorization: Bearer key\r\n\r\n";
 
@@ -36,13 +37,7 @@
 public:
     caller_fixture() {
         m_gateway.publish(request_kind::idempotent, 2, 3);
-        auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
-        auto table = std::make_shared<route_table>(*view->table);
-        table->limits.idle_timeout = k_idle_timeout;
-        table->limits.header_timeout = k_header_timeout;
-        index_routes(*table);
-        view->table = table;
-        apply_view(m_gateway.traffic, view);
+        publish_limits(k_limits);
         const auto address = free_address();
         const auto endpoint = parse_endpoint(address);
         auto started = caller_server::start(m_io, {endpoint->ip, endpoint->port, 10, k_max_write_silence},
@@ -67,6 +62,15 @@
         m_io.restart();
         m_io.run_for(time);
     }
+    /// Publishes limits for the requests of callers.
+    void publish_limits(const caller_limits& limits) {
+        auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
+        auto table = std::make_shared<route_table>(*view->table);
+        table->limits = limits;
+        view->table = table;
+        ++view->sequence;
+        apply_view(m_gateway.traffic, view);
+    }
     /// Queues `action` behind the completions that the thread has not handled yet.
     void post(std::function<void()> action) { asio::post(m_io, std::move(action)); }
     void send(const std::string& text) { asio::write(m_caller, asio::buffer(text)); }
@@ -133,6 +137,70 @@
     CHECK(fixture.gateway().attempts.size() == test.attempts);
 }
 
+struct limits_case {
+    const char* name;
+    caller_limits limits;
+    /// Time without bytes on the connection after the limits were published.
+    milliseconds pause;
+    std::size_t head_bytes;
+    std::size_t body_bytes;
+    std::string received;
+};
+
+// Guards against requests on kept connections that are refused, or whose connection is closed, by limits that
+// the operators have replaced since the connection became idle.
+TEST_CASE("a request is read by the limits that are in force when it begins") {
+    const milliseconds soon{1};
+    const auto test = GENERATE_COPY(from_range(std::vector<limits_case>{
+        {"the same", k_limits, soon, 0, 30'000, ""},
+        {"above the same", k_limits, soon, 0, 30'001, "HTTP/1.1 413"},
+        {"larger bodies", {1'024, 60'000, k_header_timeout, k_idle_timeout}, soon, 0, 50'000, ""},
+        {"smaller bodies",
+         {1'024, 10'000, k_header_timeout, k_idle_timeout},
+         soon,
+         0,
+         20'000,
+         "HTTP/1.1 413"},
+        {"larger heads", {8'192, 30'000, k_header_timeout, k_idle_timeout}, soon, 4'000, 0, ""},
+        {"smaller heads", {512, 30'000, k_header_timeout, k_idle_timeout}, soon, 600, 0, "HTTP/1.1 431"},
+        {"longer idle time",
+         {1'024, 30'000, k_header_timeout, k_idle_timeout * 4},
+         k_idle_timeout * 2,
+         0,
+         0,
+         ""},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.publish_limits(test.limits);
+    fixture.run(test.pause);
+    std::string request = k_head_start;
+    if (test.head_bytes > 0) {
+        request += "X-Padding: " + std::string(test.head_bytes, 'x') + "\r\n";
+    }
+    request += "Content-Length: " + std::to_string(test.body_bytes) + "\r\n" + k_head_end;
+    fixture.send(request + std::string(test.body_bytes, 'x'));
+    fixture.run(milliseconds(20));
+    CHECK(fixture.received().substr(0, 12) == test.received);
+    CHECK(fixture.gateway().attempts.size() == (test.received.empty() ? 1 : 0));
+}
+
+// Guards against a request that limits which were published while its body arrived refuse half read.
+TEST_CASE("a request that has begun is read to its end by the limits it began under") {
+    caller_fixture fixture;
+    const std::string body(20'000, 'x');
+    fixture.send(std::string(k_head_start) + "Content-Length: " + std::to_string(body.size()) + "\r\n" +
+                 k_head_end + body.substr(0, 5'000));
+    fixture.run(milliseconds(10));
+    fixture.publish_limits({1'024, 1'000, milliseconds(1), milliseconds(1)});
+    fixture.send(body.substr(5'000, 5'000));
+    fixture.run(milliseconds(20));
+    fixture.send(body.substr(10'000));
+    fixture.run(milliseconds(10));
+    CHECK(fixture.received() == "");
+    CHECK(fixture.gateway().attempts.size() == 1);
+}
+
 // Guards against a second, empty request when the read of the next request's bytes completes between the end
 // of an answer and the start of the next request.
 TEST_CASE("a request that is read while the answer before it ends is served once") {
