--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -109,6 +109,11 @@
 }
 
 void caller_session::arm_timer(milliseconds delay) {
+    m_reads = {};
+    start_timer(delay);
+}
+
+void caller_session::start_timer(milliseconds delay) {
     m_timer.start(delay, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_timer();
@@ -120,6 +125,10 @@
     if (is_request_parsed() || m_phase == session_phase::closed) {
         return;
     }
+    if (m_phase == session_phase::reading && must_read_first(m_reads)) {
+        start_timer(milliseconds(0));
+        return;
+    }
     if (m_phase == session_phase::reading && m_has_request_bytes) {
         m_keeps_alive = false;
         reply_encoded({408, "Request Timeout", {}, ""});
@@ -184,6 +193,7 @@
         return;
     }
     m_buffer.commit(bytes);
+    ++m_reads.handled;
     if (m_phase == session_phase::lingering) {
         m_buffer.consume(m_buffer.size());
     } else if (m_phase == session_phase::reading) {
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -2,6 +2,7 @@
 
 #include "lovage/adapters/gateway/one_shot_timer.h"
 #include "lovage/core/enum_names.h"
+#include "lovage/core/pending_reads.h"
 #include "lovage/ports/request_codec.h"
 #include "lovage/traffic/gateway_traffic.h"
 #include "lovage/traffic/proxied_request.h"
@@ -68,6 +69,7 @@
     void linger();
     void close();
     void arm_timer(milliseconds delay);
+    void start_timer(milliseconds delay);
     void on_timer();
     /// Time until the next part of the request's body must have arrived.
     milliseconds body_time_left() const;
@@ -86,6 +88,8 @@
     std::optional<parser_type> m_parser;
     std::shared_ptr<proxied_request> m_request;
     session_phase m_phase = session_phase::reading;
+    /// Reads since the timer was armed.
+    pending_reads m_reads;
     time_point m_first_byte{};
     time_point m_idle_since{};
     /// Limits of the request that is being read.
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -4,6 +4,7 @@
 #include "support/fake_gateway.h"
 #include "support/free_port.h"
 
+#include "lovage/adapters/gateway/one_shot_timer.h"
 #include "lovage/adapters/settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -62,6 +63,8 @@
         m_io.restart();
         m_io.run_for(time);
     }
+    /// Runs `action` after `delay`, in the order of the other timers that expire while the thread is busy.
+    void after(milliseconds delay, std::function<void()> action) { m_timers.after(delay, std::move(action)); }
     /// Publishes limits for the requests of callers.
     void publish_limits(const caller_limits& limits) {
         auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
@@ -106,6 +109,7 @@
 
 private:
     asio::io_context m_io;
+    timer_port m_timers = make_timer_port(m_io);
     fake_gateway m_gateway;
     std::unique_ptr<caller_server> m_server;
     tcp::endpoint m_endpoint;
@@ -137,6 +141,35 @@
     CHECK(fixture.gateway().attempts.size() == test.attempts);
 }
 
+struct unread_case {
+    const char* name;
+    /// Sent before the thread is held up.
+    std::string first;
+    /// Arrives when the timer of the connection has expired and its handler is already queued.
+    std::string rest;
+    std::size_t attempts;
+};
+
+// Guards against a connection that is closed, or refused with 408, with its whole request in the kernel.
+TEST_CASE("an expired timer of a connection waits for what has arrived to be read") {
+    const std::string head_start = k_head_start;
+    const auto test = GENERATE_COPY(from_range(std::vector<unread_case>{
+        {"nothing", "", "", 0},
+        {"a whole request", "", head_start + k_head_end, 1},
+        {"the rest of a head", head_start, k_head_end, 1},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(test.first);
+    fixture.run(milliseconds(10));
+    fixture.after(milliseconds(1), [&] { fixture.send(test.rest); });
+    fixture.post([] { std::this_thread::sleep_for(k_idle_timeout + k_header_timeout); });
+    fixture.run(milliseconds(20));
+    fixture.run(milliseconds(20));
+    CHECK(fixture.gateway().attempts.size() == test.attempts);
+    CHECK(fixture.received() == (test.attempts > 0 ? "" : "closed"));
+}
+
 struct limits_case {
     const char* name;
     caller_limits limits;
