Answer what is left at the end of a planned stop, and take no request that could outlast it (LOST)

What callers saw: in a planned stop of one gateway, in calm, requests that came late in the grace period were taken and passed on, and cut without an answer at its end, non-idempotent ones among them.

The end of the grace period stopped the process whatever was in progress. Plain requests were taken until 1.3 s before it, however long their route lets them take, since only streams were compared with the time that is left; and a process without requests stopped without looking at its backlog.

Change: a phase `ending` from 300 ms before the kill on: every request that is left gets its final answer (unknown, or not run), streams that have begun are broken off, half-read requests are refused as not run; the process exits when these are sent. Later than 3 s after the signal, when callers have been sent elsewhere, a request is taken only if its timeout ends before that (may_start_late). A process that still listens closes its socket, and serves its backlog, before it stops.

Before: planned_stop_answers_what_it_cannot_finish fails ("0 bytes read", no answer to a late publication; connection refused).

Conclusion: fixed for the gateway. Streams in progress at the end of the grace period are still broken off.

--- a/include/lovage/adapters/gateway/caller_server.h
+++ b/include/lovage/adapters/gateway/caller_server.h
@@ -44,6 +44,10 @@
     /// kernel has accepted, and requests that have arrived on them, are read first. Closing takes until the
     /// io_context has run.
     void close_idle();
+    /// Refuses requests of which only a part has arrived, as not run.
+    void refuse_half_read();
+    /// Whether new connections are accepted, or wait in the backlog.
+    bool is_listening() const;
     std::size_t connections() const;
     /// Number of connections on which a request is being read or served, or an answer is being sent.
     std::size_t busy_connections() const;
--- a/include/lovage/core/shutdown_plan.h
+++ b/include/lovage/core/shutdown_plan.h
@@ -18,12 +18,14 @@
     /// New connections and requests are refused and idle connections are closed; requests in progress
     /// continue.
     closing,
+    /// The grace period is nearly over: requests that are left get their final answer.
+    ending,
     /// No requests and connections are left, or the grace period has ended.
     stopped,
 };
-inline constexpr std::size_t k_shutdown_phase_count = 4;
+inline constexpr std::size_t k_shutdown_phase_count = 5;
 inline constexpr enum_names<k_shutdown_phase_count> k_shutdown_phase_names{"serving", "leaving", "closing",
-                                                                           "stopped"};
+                                                                           "ending", "stopped"};
 static_assert(static_cast<std::size_t>(shutdown_phase::stopped) + 1 == k_shutdown_phase_count);
 
 /// The progress of a process that was asked to shut down.
@@ -36,13 +38,29 @@
     std::size_t requests = 0;
     /// Open connections of callers. One without a request may have unread bytes of its next one.
     std::size_t connections = 0;
+    /// Whether new connections are accepted; some may wait in the backlog.
+    bool is_listening = false;
 };
 
 /// Returns the phase of a process that was asked to shut down, so never `serving`.
 shutdown_phase plan_shutdown(const shutdown_progress& facts);
 
-/// Returns whether a request that usually takes `usual_time` can end before the process is killed.
-bool can_finish_before_kill(time_point::duration since_stop_request, milliseconds grace,
-                            time_point::duration usual_time);
+/// What is known of a request that arrives at a process which was asked to shut down.
+struct late_request {
+    time_point::duration since_stop_request{};
+    milliseconds grace{0};
+    /// How long such a request usually takes; 0 for one that takes a small part of the grace period.
+    time_point::duration usual_time{};
+    /// Time after which it gets its final answer in any case, by its timeout or its caller's deadline.
+    milliseconds longest_time{0};
+};
+
+/// Returns whether the request may be started.
+///
+/// Load pattern: a planned stop of one process. As long as callers may not know of it, requests that usually
+/// end in time are taken. Later ones would only arrive because their callers keep a connection, or have
+/// nowhere else to go; they are taken only if they get their final answer before the end in any case, since
+/// one that is cut may have run.
+bool may_start_late(const late_request& request);
 
 } // namespace lovage
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -161,6 +161,9 @@
 /// Returns the current phase of the graceful shutdown.
 shutdown_phase current_shutdown_phase(const gateway_traffic& traffic);
 
+/// Ends the requests in progress with a final answer, at the end of the graceful shutdown.
+void end_requests(gateway_traffic& traffic);
+
 /// Returns the retry delay for a caller that is refused because of the shutdown.
 milliseconds shutdown_retry_after(const gateway_traffic& traffic);
 
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -53,6 +53,9 @@
 
     /// Handles the caller's disconnection: cancels the attempt at the target.
     void on_caller_disconnected();
+    /// Handles the end of the process: the caller gets its final answer, or the answer that has begun is
+    /// broken off.
+    void on_process_end();
     /// Handles progress of writes to the caller; resumes reading from the target if backpressure had paused
     /// it.
     void on_caller_writable();
--- a/src/adapters/gateway/caller_server.cpp
+++ b/src/adapters/gateway/caller_server.cpp
@@ -142,6 +142,17 @@
     }
 }
 
+void caller_server::refuse_half_read() {
+    const auto sessions = m_state->sessions;
+    for (auto* session : sessions) {
+        session->refuse_half_read();
+    }
+}
+
+bool caller_server::is_listening() const {
+    return m_state->acceptor.is_open();
+}
+
 std::size_t caller_server::connections() const {
     return m_state->sessions.size();
 }
--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -296,6 +296,7 @@
 }
 
 void caller_session::reply_encoded(const encoded_answer& answer) {
+    m_keeps_alive = m_keeps_alive && !m_host.is_draining;
     std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + answer.reason + "\r\n";
     for (const auto& [name, value] : answer.fields) {
         append_field(text, name, value);
@@ -447,6 +448,15 @@
     return is_request_parsed() || is_sending() || (m_phase == session_phase::reading && m_has_request_bytes);
 }
 
+void caller_session::refuse_half_read() {
+    if (m_phase == session_phase::reading && m_has_request_bytes) {
+        error_reply refusal;
+        refusal.kind = error_kind::leaving;
+        refusal.is_not_run = true;
+        reply(refusal);
+    }
+}
+
 void caller_session::close_if_idle() {
     if (m_phase != session_phase::reading || is_busy()) {
         return;
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -41,6 +41,8 @@
     void start();
     /// Closes the connection unless a request is being read or served, or has arrived.
     void close_if_idle();
+    /// Refuses a request of which only a part has arrived, as not run.
+    void refuse_half_read();
     /// Whether a request is being read or served, or an answer is being sent.
     bool is_busy() const;
 
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -306,12 +306,22 @@
 }
 
 void gateway_process::poll_shutdown() {
-    const auto phase = plan_shutdown({monotonic_now() - *m_traffic.shutdown_requested_at, m_settings.grace,
-                                      std::max(m_traffic.requests.size(), m_callers->busy_connections()),
-                                      m_callers->connections()});
+    shutdown_progress progress;
+    progress.since_stop_request = monotonic_now() - *m_traffic.shutdown_requested_at;
+    progress.grace = m_settings.grace;
+    progress.requests = std::max(m_traffic.requests.size(), m_callers->busy_connections());
+    progress.connections = m_callers->connections();
+    progress.is_listening = m_callers->is_listening();
+    const auto phase = plan_shutdown(progress);
     if (phase != shutdown_phase::leaving) {
         m_callers->close_idle();
     }
+    if (phase == shutdown_phase::ending) {
+        log_event(log_level::info, "requests_ended_by_stop",
+                  {{"requests", std::to_string(m_traffic.requests.size())}});
+        end_requests(m_traffic);
+        m_callers->refuse_half_read();
+    }
     if (phase == shutdown_phase::stopped) {
         log_event(log_level::info, "stopped", {{"requests_cut", std::to_string(m_traffic.requests.size())}});
         m_control.reset();
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -266,6 +266,17 @@
                           traffic.requests.size()});
 }
 
+void end_requests(gateway_traffic& traffic) {
+    // Each end changes the set.
+    std::vector<std::shared_ptr<proxied_request>> left;
+    for (auto* request : traffic.requests) {
+        left.push_back(request->shared_from_this());
+    }
+    for (const auto& request : left) {
+        request->on_process_end();
+    }
+}
+
 milliseconds shutdown_retry_after(const gateway_traffic& traffic) {
     // Time that a restarted process needs until it serves requests.
     constexpr milliseconds k_restart_time{1'200};
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -56,6 +56,11 @@
         return;
     }
     m_route = decision.route;
+    auto allowed = m_route->timeout;
+    if (m_request.deadline > milliseconds(0)) {
+        allowed = std::min(allowed, m_request.deadline);
+    }
+    m_deadline = m_request.received + allowed;
     if (!may_start()) {
         refuse(error_kind::leaving,
                std::string(name_of(k_shutdown_phase_names, current_shutdown_phase(m_traffic))));
@@ -67,11 +72,6 @@
         choose_service(*m_route, std::uniform_real_distribution<double>(0.0, 1.0)(m_traffic.random));
     const auto service = m_table->services.find(m_service_name);
     m_service = service != m_table->services.end() ? &service->second : nullptr;
-    auto allowed = m_route->timeout;
-    if (m_request.deadline > milliseconds(0)) {
-        allowed = std::min(allowed, m_request.deadline);
-    }
-    m_deadline = m_request.received + allowed;
     start_deadline_timer(std::max(time_left(), milliseconds(0)));
     if (!can_ever_run(memory_capacity(), memory_tokens())) {
         refuse(error_kind::deadline_unreachable, std::to_string(memory_tokens()) +
@@ -97,10 +97,12 @@
     if (phase == shutdown_phase::serving) {
         return true;
     }
-    const auto waited = m_traffic.timers.now() - *m_traffic.shutdown_requested_at;
-    return phase == shutdown_phase::leaving &&
-           (!is_stream() ||
-            can_finish_before_kill(waited, m_traffic.options.grace, m_traffic.mean_stream_duration));
+    late_request facts;
+    facts.since_stop_request = m_traffic.timers.now() - *m_traffic.shutdown_requested_at;
+    facts.grace = m_traffic.options.grace;
+    facts.usual_time = is_stream() ? m_traffic.mean_stream_duration : time_point::duration::zero();
+    facts.longest_time = time_left();
+    return phase == shutdown_phase::leaving && may_start_late(facts);
 }
 
 milliseconds proxied_request::time_left() const {
@@ -404,6 +406,12 @@
     refuse(error_kind::deadline_exceeded, "no whole answer in time");
 }
 
+void proxied_request::on_process_end() {
+    if (!m_is_done) {
+        refuse(error_kind::leaving, "the process ends");
+    }
+}
+
 void proxied_request::on_caller_disconnected() {
     if (m_is_done) {
         return;
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -403,6 +403,28 @@
     writer.close()
 
 
+async def planned_stop_answers_what_it_cannot_finish(f):
+    """Guards against requests that are cut without an answer at the end of the grace period: those that are in progress
+    get one before it, and late ones that could outlast it are refused as not run."""
+    f.world.plain_timeout_ms = 20000
+    f.world.configure()
+    await asyncio.sleep(1.0)
+    for server in f.world.plain:
+        server.work_s = 30.0
+    gateway = f.gateways[0]
+    in_progress = [asyncio.create_task(call(f.port, kind)) for kind in ("publish", "read")]
+    await asyncio.sleep(0.3)
+    gateway.signal(signal.SIGTERM)
+    await asyncio.sleep(3.3)
+    stopped_at = time.monotonic()
+    late = [await call(f.port, kind) for kind in ("publish", "read")]
+    check([o.status for o in late] == [503, 503], f"late requests: {[(o.status, o.detail) for o in late]}")
+    check(sum(s.arrived_since(stopped_at) for s in f.world.plain) == 0, "a late request reached a server")
+    for outcome in await asyncio.gather(*in_progress):
+        check(outcome.status in (502, 504) and outcome.is_complete, f"{outcome.status} {outcome.detail}")
+    check(await asyncio.wait_for(gateway.process.wait(), 5.0) == 0, "exit code")
+
+
 async def killed_process_serves_again(f):
     """Guards against a restart that needs more state than the store has."""
     await f.gateways[0].stop()
@@ -491,7 +513,7 @@
          process_is_frozen_at_the_end_of_a_pause, stream_resumes_beside_paused_engines, unreadable_pause_is_reported,
          draining_server_gets_no_new_work, restarted_server_is_found, revoked_key_is_closed,
          lost_store_closes_keys, forgotten_history_is_read_again, planned_stop_cuts_nothing,
-         planned_stop_waits_for_slow_callers,
+         planned_stop_waits_for_slow_callers, planned_stop_answers_what_it_cannot_finish,
          killed_process_serves_again, nothing_withdrawn_returns_after_a_restart, stopped_work_of_gone_callers,
          good_version_is_moved_to, version_is_taken_back_if_it_may_be_too_many, bad_version_is_taken_back]
 CASES += [make_endless_case(mode) for mode in ENDLESS]
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -378,6 +378,7 @@
         self.engines = [Engine(self, f"e{i}", "models", zones[i % 3]) for i in range(engines)]
         self.plain = [PlainServer(self, f"p{i}", "app", zones[i % 3]) for i in range(plain)]
         self.version = 0
+        self.plain_timeout_ms = 1500
         self.keys = ["key-1", "key-2"]
         self.keys_seen, self.tenants_seen = set(), set()
 
@@ -414,8 +415,8 @@
         self.store.put("op/config", {
             "Version": self.version,
             "Routes": [route("stream", "streaming", "models", 5, 10000, 2000),
-                       route("publish", "non_idempotent", "app", 1, 1500, 300),
-                       route("read", "idempotent", "app", 2, 1500, 300)],
+                       route("publish", "non_idempotent", "app", 1, self.plain_timeout_ms, 300),
+                       route("read", "idempotent", "app", 2, self.plain_timeout_ms, 300)],
             "Services": [{"Name": "models", "MaxConns": 200, "Engine": {"Slots": 24, "KvCapacityTokens": 88000,
                                                                      "Backups": True}},
                          {"Name": "app", "MaxConns": 100}],
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -295,6 +295,20 @@
     CHECK(fixture.gateway().attempts.empty());
 }
 
+// Guards against a connection that the end of the process cuts while its request is half read.
+TEST_CASE("a request that is half read when the process ends is refused as not run") {
+    caller_fixture fixture;
+    fixture.send(std::string(k_head_start) + "Content-Length: 100\r\n" + k_head_end + "part");
+    fixture.run(milliseconds(10));
+    fixture.server().start_draining();
+    fixture.server().refuse_half_read();
+    fixture.run(milliseconds(10));
+    const auto received = fixture.received();
+    CHECK(received.find("HTTP/1.1 503") == 0);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(fixture.server().busy_connections() == 0);
+}
+
 struct body_case {
     const char* name;
     std::size_t block_bytes;
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -642,6 +642,8 @@
         {"stream late", request_kind::streaming, milliseconds(3'000), false},
         {"plain late", request_kind::idempotent, milliseconds(3'000), true},
         {"plain at the end", request_kind::idempotent, milliseconds(7'000), false},
+        {"plain after callers were sent elsewhere", request_kind::idempotent, milliseconds(3'001), false},
+        {"non-idempotent after it", request_kind::non_idempotent, milliseconds(5'000), false},
     }));
     CAPTURE(test.name);
     fake_gateway gateway;
@@ -652,6 +654,50 @@
     CHECK(gateway.caller.replies.size() == (test.is_served ? 0 : 1));
 }
 
+struct end_case {
+    const char* name;
+    request_kind kind;
+    /// Whether the target has sent the head of its answer and an event, and whether it was sent the request.
+    bool has_event;
+    bool is_sent;
+    bool is_aborted;
+    bool is_not_run;
+};
+
+// Guards against requests that the end of a planned stop cuts without an answer.
+TEST_CASE("a process that ends gives the requests that are left their final answer") {
+    const auto test = GENERATE(from_range(std::vector<end_case>{
+        {"a plain call in progress", request_kind::non_idempotent, false, true, false, false},
+        {"a stream without an event", request_kind::streaming, false, true, false, false},
+        {"a stream with events", request_kind::streaming, true, true, true, false},
+        {"a request that waits", request_kind::idempotent, false, false, false, true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(test.kind, 2, 3);
+    if (!test.is_sent) {
+        for (const auto* id : {"t1", "t2", "t3"}) {
+            record_pause(gateway.traffic.notices[id], 0, milliseconds(1'000), 0.0, gateway.now);
+        }
+    }
+    const auto request = gateway.request();
+    REQUIRE(gateway.attempts.size() == (test.is_sent ? 1 : 0));
+    if (test.has_event) {
+        gateway.attempts[0]->events.on_head(fake_gateway::head(200));
+        gateway.attempts[0]->events.on_body(fake_gateway::event(1));
+    }
+    end_requests(gateway.traffic);
+    CHECK(gateway.caller.is_aborted == test.is_aborted);
+    REQUIRE(gateway.caller.replies.size() == (test.is_aborted ? 0 : 1));
+    if (!test.is_aborted) {
+        CHECK(gateway.caller.replies[0].is_not_run == test.is_not_run);
+    }
+    CHECK(gateway.traffic.requests.empty());
+    CHECK((!test.is_sent || gateway.attempts[0]->is_cancelled));
+    gateway.advance(milliseconds(2'000));
+    CHECK(gateway.attempts.size() == (test.is_sent ? 1 : 0));
+}
+
 // Guards against the drained backlog of an earlier attempt that resumes reading at the next one.
 TEST_CASE("the caller's backlog pauses and resumes only the attempt that filled it") {
     const bool is_lost = GENERATE(false, true);
