--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -1,4 +1,5 @@
 #include "base64.h"
+#include "documents.h"
 #include "request_codec.h"
 
 #include "lovage/adapters/gateway/peer_report_udp.h"
@@ -6,6 +7,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -232,6 +235,97 @@
     CHECK(status.events == test.events);
 }
 
+struct decoder_case {
+    const char* name;
+    std::string sample;
+    std::function<void(const std::string&)> decode;
+};
+
+std::vector<decoder_case> decoders() {
+    const auto documents = platform::make_documents();
+    const auto engine = platform::make_request_codec().engine;
+    const auto document = [documents](const char* key) {
+        return [documents, key](const std::string& text) {
+            documents.decode_watched_document(key, store_value{text, 1});
+        };
+    };
+    return {
+        {"configuration",
+         R"({"Version":3,"Routes":[{"Name":"r","Host":"h","Prefix":"/r/","Kind":"streaming","TimeoutMs":1000,)"
+         R"("SloMs":100,"GapAimMs":700,"Priority":1,"MaxAttempts":2,"Public":false,"Resumable":true,)"
+         R"("TrafficSplit":[{"Service":"s","Weight":1.0}]}],"Services":[{"Name":"s","MaxConns":10,)"
+         R"("Engine":{"Slots":24,"KvCapacityTokens":88000,"Backups":true}}],"Limits":{"MaxHeaderBytes":1000,)"
+         R"("MaxBodyBytes":1000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":1000},)"
+         R"("Tenants":[{"Name":"org","Priority":1,"ApiKeys":["key"]}]})",
+         document("op/config")},
+        {"order", R"({"Service":"s","Target":"v2","DurationS":12})", document("op/rollout/s")},
+        {"move",
+         R"({"id":"s@1","model":"s","from":"v1","to":"v2","phase":"canary","share":0.1,"fencing":1,"sequence":2,)"
+         R"("deadline_ms":5,"reason":"r"})",
+         document("moves/s")},
+        {"quarantine", R"({"service":"s","parts":["a","b"]})", document("quarantine/1")},
+        {"target",
+         R"({"Service":"s","Address":"10.0.0.1:1","Zone":"a","Version":"v1","Slots":24,"State":"ready","born":5})",
+         [documents](const std::string& text) {
+             documents.decode_target("servers/t1", store_value{text, 1});
+         }},
+        {"engine status", R"({"Running":1,"Waiting":0,"Runs":[["id2",900,17,5]]})",
+         [engine](const std::string& text) { engine.decode_status(text, "id1"); }},
+        {"standby copy", R"({"Handle":"h1","CreateRevision":3})",
+         [engine](const std::string& text) { engine.decode_standby_copy(text); }},
+        {"prompt parts", R"({"epoch":1,"Next":2,"held":[["","a",100,"m"]]})",
+         [engine](const std::string& text) { engine.decode_prefix_cache(text); }},
+    };
+}
+
+// The texts in which one value of the document is replaced by an odd one.
+std::vector<std::string> odd_variants(const std::string& sample) {
+    const std::vector<std::string> odd{
+        "null",   "true",  "-1", "0",  "0.5",      "18446744073709551615", "1e308",
+        "-1e308", R"("")", "[]", "{}", "[[[[]]]]", R"("\u0000\r\n")"};
+    const auto document = nlohmann::json::parse(sample);
+    std::vector<std::string> variants{"",
+                                      "null",
+                                      "[]",
+                                      "7",
+                                      sample.substr(0, sample.size() / 2),
+                                      "\xff",
+                                      std::string(100'000, '[') + std::string(100'000, ']')};
+    const auto flat = document.flatten();
+    for (const auto& [pointer, value] : flat.items()) {
+        // Also replaces the lists and objects around the value.
+        for (nlohmann::json::json_pointer place(pointer); !place.empty(); place = place.parent_pointer()) {
+            for (const auto& text : odd) {
+                auto changed = document;
+                changed[place] = nlohmann::json::parse(text);
+                variants.push_back(changed.dump());
+            }
+        }
+    }
+    return variants;
+}
+
+// Guards against a process that ends by itself because another one wrote a value of another type.
+TEST_CASE("no document of another process throws when it is decoded") {
+    const auto test = GENERATE(from_range(decoders()));
+    CAPTURE(test.name);
+    for (const auto& text : odd_variants(test.sample)) {
+        CAPTURE(text.substr(0, 400));
+        CHECK_NOTHROW(test.decode(text));
+    }
+}
+
+// Guards against a process that ends by itself, or a path or header field that is ended, by what a caller or
+// a server has sent.
+TEST_CASE("names of runs and copies are sent only if they are well-formed") {
+    const auto engine = platform::make_request_codec().engine;
+    CHECK_NOTHROW(engine.make_standby_copy_request("\xff\xfe", "10.0.0.1:1"));
+    CHECK(engine.decode_standby_copy(R"({"Handle":"h1"})") == "h1");
+    CHECK(engine.decode_standby_copy(R"({"Handle":17})") == "17");
+    CHECK_FALSE(engine.decode_standby_copy(R"({"Handle":"h1 HTTP/1.1\r\nX: y"})"));
+    CHECK_FALSE(engine.decode_standby_copy(R"({"Handle":["h1"]})"));
+}
+
 // Guards against store values that are changed by encoding and decoding.
 TEST_CASE("base64 keeps every byte") {
     const auto bytes = GENERATE(from_range(
