--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -309,16 +309,56 @@
     CHECK(view_of(state)->splits.at("s").share == test.share);
 }
 
-// Guards against malformed entries that crash the process or are used as targets.
+struct odd_entry_case {
+    const char* name;
+    std::string id;
+    std::string value;
+};
+
+std::string entry_with(const std::string& fields) {
+    return R"({"Service":"s","Zone":"a","State":"ready",)" + fields + "}";
+}
+
+std::string nested(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Guards against an odd entry of another writer that ends the process, is used as a target or hides the
+// others.
 TEST_CASE("an entry that cannot be decoded names no target") {
-    const std::string text = GENERATE(from_range(std::vector<std::string>{
-        "", "\xff\xfe", "[]", "{}", R"({"Service":7,"Address":"10.0.0.1:1","Zone":"a","State":"ready"})",
-        R"({"Service":"s","Address":"10.0.0.1:1","Zone":"a","State":"asleep"})",
-        R"({"Service":"s","Zone":"a","State":"ready"})"}));
-    CAPTURE(text);
+    const std::string address = R"("Address":"10.0.0.1:1")";
+    const auto test = GENERATE_COPY(from_range(std::vector<odd_entry_case>{
+        {"empty", "t1", ""},
+        {"no text", "t1", "\xff\xfe"},
+        {"a list", "t1", "[]"},
+        {"no fields", "t1", "{}"},
+        {"service is a number", "t1", R"({"Service":7,"Address":"10.0.0.1:1","Zone":"a","State":"ready"})"},
+        {"unknown state", "t1", R"({"Service":"s","Address":"10.0.0.1:1","Zone":"a","State":"asleep"})"},
+        {"no address", "t1", R"({"Service":"s","Zone":"a","State":"ready"})"},
+        {"port out of range", "t1", entry_with(R"("Address":"10.0.0.1:65536")")},
+        {"port 0", "t1", entry_with(R"("Address":"10.0.0.1:0")")},
+        {"negative port", "t1", entry_with(R"("Address":"10.0.0.1:-1")")},
+        {"no port", "t1", entry_with(R"("Address":"10.0.0.1")")},
+        {"a host name", "t1", entry_with(R"("Address":"server:80")")},
+        {"an address of many parts", "t1", entry_with(R"("Address":"10.0.0.1.2:80")")},
+        {"a line break in the address", "t1", entry_with(R"("Address":"10.0.0.1:80\r\nX: y")")},
+        {"number beyond any type", "t1", entry_with(address + R"(,"Seq":1e999)")},
+        {"start beyond 64 bits", "t1", entry_with(address + R"(,"born":1e30)")},
+        {"start beyond 63 bits", "t1", entry_with(address + R"(,"born":18446744073709551615)")},
+        {"deeply nested", "t1", nested(100'000)},
+        {"deeply nested field", "t1", entry_with(address + R"(,"x":)" + nested(100'000))},
+        {"deeply nested, cut off", "t1", std::string(100'000, '[')},
+        {"an id that ends a header field", "t\r\n1", entry_with(address)},
+        {"an id with a space", "t 1", entry_with(address)},
+    }));
+    CAPTURE(test.name);
     auto state = make_state();
-    apply_store_update(state, full_read({config(1, 1), {"servers/t1", store_value{text, 2}}}), at_ms(0));
-    CHECK(usable_target_ids(state).empty());
+    apply_store_update(state,
+                       full_read({config(1, 1),
+                                  {"servers/" + test.id, store_value{test.value, 2}},
+                                  {"servers/t2", store_value{entry_with(R"("Address":"10.0.0.2:1")"), 3}}}),
+                       at_ms(0));
+    CHECK(usable_target_ids(state) == std::vector<std::string>{"t2"});
     CHECK(view_of(state)->table);
 }
 
