--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -2,6 +2,7 @@
 
 #include "lovage/adapters/gateway/one_shot_timer.h"
 #include "lovage/core/enum_names.h"
+#include "lovage/core/pending_reads.h"
 #include "lovage/ports/request_codec.h"
 #include "lovage/traffic/gateway_traffic.h"
 #include "lovage/traffic/proxied_request.h"
@@ -40,6 +41,8 @@
     void start();
     /// Closes the connection unless a request is being read or served, or has arrived.
     void close_if_idle();
+    /// Refuses a request of which only a part has arrived, as not run.
+    void refuse_half_read();
     /// Whether a request is being read or served, or an answer is being sent.
     bool is_busy() const;
 
@@ -47,6 +50,8 @@
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void expect_request();
+    void begin_request();
+    void start_idle_time();
     void read();
     void handle_bytes(const boost::system::error_code& failure, std::size_t bytes);
     void parse();
@@ -66,11 +71,14 @@
     void linger();
     void close();
     void arm_timer(milliseconds delay);
+    void start_timer(milliseconds delay);
+    void on_timer();
     /// Time until the next part of the request's body must have arrived.
     milliseconds body_time_left() const;
     /// Whether bytes that arrive belong to a later request than the one that the parser holds.
     bool is_request_parsed() const;
     bool is_sending() const { return m_is_writing || !m_pending.empty(); }
+    /// Limits of the newest configuration.
     const caller_limits& limits() const;
 
     boost::asio::ip::tcp::socket m_socket;
@@ -82,7 +90,12 @@
     std::optional<parser_type> m_parser;
     std::shared_ptr<proxied_request> m_request;
     session_phase m_phase = session_phase::reading;
+    /// Reads since the timer was armed.
+    pending_reads m_reads;
     time_point m_first_byte{};
+    time_point m_idle_since{};
+    /// Limits of the request that is being read.
+    caller_limits m_request_limits;
     bool m_has_request_bytes = false;
     bool m_is_reading = false;
     /// Whether the read in progress was ended to close the connection.
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -4,6 +4,7 @@
 #include "support/fake_gateway.h"
 #include "support/free_port.h"
 
+#include "lovage/adapters/gateway/one_shot_timer.h"
 #include "lovage/adapters/settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -28,6 +29,7 @@
 constexpr milliseconds k_idle_timeout{60};
 constexpr milliseconds k_header_timeout{100};
 constexpr milliseconds k_max_write_silence{150};
+constexpr caller_limits k_limits{1'024, 30'000, k_header_timeout, k_idle_timeout};
 constexpr const char* k_head_start = "GET /r/x HTTP/1.1\r\nHost: host\r\n";
 constexpr const char* k_head_end = "Request-Id: id\r\nAuthorization: Bearer key\r\n\r\n";
 
@@ -36,13 +38,7 @@
 public:
     caller_fixture() {
         m_gateway.publish(request_kind::idempotent, 2, 3);
-        auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
-        auto table = std::make_shared<route_table>(*view->table);
-        table->limits.idle_timeout = k_idle_timeout;
-        table->limits.header_timeout = k_header_timeout;
-        index_routes(*table);
-        view->table = table;
-        apply_view(m_gateway.traffic, view);
+        publish_limits(k_limits);
         const auto address = free_address();
         const auto endpoint = parse_endpoint(address);
         auto started = caller_server::start(m_io, {endpoint->ip, endpoint->port, 10, k_max_write_silence},
@@ -67,6 +63,17 @@
         m_io.restart();
         m_io.run_for(time);
     }
+    /// Runs `action` after `delay`, in the order of the other timers that expire while the thread is busy.
+    void after(milliseconds delay, std::function<void()> action) { m_timers.after(delay, std::move(action)); }
+    /// Publishes limits for the requests of callers.
+    void publish_limits(const caller_limits& limits) {
+        auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
+        auto table = std::make_shared<route_table>(*view->table);
+        table->limits = limits;
+        view->table = table;
+        ++view->sequence;
+        apply_view(m_gateway.traffic, view);
+    }
     /// Queues `action` behind the completions that the thread has not handled yet.
     void post(std::function<void()> action) { asio::post(m_io, std::move(action)); }
     void send(const std::string& text) { asio::write(m_caller, asio::buffer(text)); }
@@ -102,6 +109,7 @@
 
 private:
     asio::io_context m_io;
+    timer_port m_timers = make_timer_port(m_io);
     fake_gateway m_gateway;
     std::unique_ptr<caller_server> m_server;
     tcp::endpoint m_endpoint;
@@ -133,6 +141,99 @@
     CHECK(fixture.gateway().attempts.size() == test.attempts);
 }
 
+struct unread_case {
+    const char* name;
+    /// Sent before the thread is held up.
+    std::string first;
+    /// Arrives when the timer of the connection has expired and its handler is already queued.
+    std::string rest;
+    std::size_t attempts;
+};
+
+// Guards against a connection that is closed, or refused with 408, with its whole request in the kernel.
+TEST_CASE("an expired timer of a connection waits for what has arrived to be read") {
+    const std::string head_start = k_head_start;
+    const auto test = GENERATE_COPY(from_range(std::vector<unread_case>{
+        {"nothing", "", "", 0},
+        {"a whole request", "", head_start + k_head_end, 1},
+        {"the rest of a head", head_start, k_head_end, 1},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.send(test.first);
+    fixture.run(milliseconds(10));
+    fixture.after(milliseconds(1), [&] { fixture.send(test.rest); });
+    fixture.post([] { std::this_thread::sleep_for(k_idle_timeout + k_header_timeout); });
+    fixture.run(milliseconds(20));
+    fixture.run(milliseconds(20));
+    CHECK(fixture.gateway().attempts.size() == test.attempts);
+    CHECK(fixture.received() == (test.attempts > 0 ? "" : "closed"));
+}
+
+struct limits_case {
+    const char* name;
+    caller_limits limits;
+    /// Time without bytes on the connection after the limits were published.
+    milliseconds pause;
+    std::size_t head_bytes;
+    std::size_t body_bytes;
+    std::string received;
+};
+
+// Guards against requests on kept connections that are refused, or whose connection is closed, by limits that
+// the operators have replaced since the connection became idle.
+TEST_CASE("a request is read by the limits that are in force when it begins") {
+    const milliseconds soon{1};
+    const auto test = GENERATE_COPY(from_range(std::vector<limits_case>{
+        {"the same", k_limits, soon, 0, 30'000, ""},
+        {"above the same", k_limits, soon, 0, 30'001, "HTTP/1.1 413"},
+        {"larger bodies", {1'024, 60'000, k_header_timeout, k_idle_timeout}, soon, 0, 50'000, ""},
+        {"smaller bodies",
+         {1'024, 10'000, k_header_timeout, k_idle_timeout},
+         soon,
+         0,
+         20'000,
+         "HTTP/1.1 413"},
+        {"larger heads", {8'192, 30'000, k_header_timeout, k_idle_timeout}, soon, 4'000, 0, ""},
+        {"smaller heads", {512, 30'000, k_header_timeout, k_idle_timeout}, soon, 600, 0, "HTTP/1.1 431"},
+        {"longer idle time",
+         {1'024, 30'000, k_header_timeout, k_idle_timeout * 4},
+         k_idle_timeout * 2,
+         0,
+         0,
+         ""},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    fixture.publish_limits(test.limits);
+    fixture.run(test.pause);
+    std::string request = k_head_start;
+    if (test.head_bytes > 0) {
+        request += "X-Padding: " + std::string(test.head_bytes, 'x') + "\r\n";
+    }
+    request += "Content-Length: " + std::to_string(test.body_bytes) + "\r\n" + k_head_end;
+    fixture.send(request + std::string(test.body_bytes, 'x'));
+    fixture.run(milliseconds(20));
+    CHECK(fixture.received().substr(0, 12) == test.received);
+    CHECK(fixture.gateway().attempts.size() == (test.received.empty() ? 1 : 0));
+}
+
+// Guards against a request that limits which were published while its body arrived refuse half read.
+TEST_CASE("a request that has begun is read to its end by the limits it began under") {
+    caller_fixture fixture;
+    const std::string body(20'000, 'x');
+    fixture.send(std::string(k_head_start) + "Content-Length: " + std::to_string(body.size()) + "\r\n" +
+                 k_head_end + body.substr(0, 5'000));
+    fixture.run(milliseconds(10));
+    fixture.publish_limits({1'024, 1'000, milliseconds(1), milliseconds(1)});
+    fixture.send(body.substr(5'000, 5'000));
+    fixture.run(milliseconds(20));
+    fixture.send(body.substr(10'000));
+    fixture.run(milliseconds(10));
+    CHECK(fixture.received() == "");
+    CHECK(fixture.gateway().attempts.size() == 1);
+}
+
 // Guards against a second, empty request when the read of the next request's bytes completes between the end
 // of an answer and the start of the next request.
 TEST_CASE("a request that is read while the answer before it ends is served once") {
@@ -194,6 +295,20 @@
     CHECK(fixture.gateway().attempts.empty());
 }
 
+// Guards against a connection that the end of the process cuts while its request is half read.
+TEST_CASE("a request that is half read when the process ends is refused as not run") {
+    caller_fixture fixture;
+    fixture.send(std::string(k_head_start) + "Content-Length: 100\r\n" + k_head_end + "part");
+    fixture.run(milliseconds(10));
+    fixture.server().start_draining();
+    fixture.server().refuse_half_read();
+    fixture.run(milliseconds(10));
+    const auto received = fixture.received();
+    CHECK(received.find("HTTP/1.1 503") == 0);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(fixture.server().busy_connections() == 0);
+}
+
 struct body_case {
     const char* name;
     std::size_t block_bytes;
