--- a/include/lovage/adapters/http_client.h
+++ b/include/lovage/adapters/http_client.h
@@ -16,7 +16,7 @@
     std::map<std::string, std::string> headers;
     std::string body;
     milliseconds connect_timeout{500};
-    /// Timeout of the whole exchange, rounded up to whole seconds; for streams, 0 means none.
+    /// Timeout of the whole exchange; for streams, 0 means none.
     milliseconds timeout{2'000};
 };
 
@@ -27,7 +27,8 @@
 };
 
 /// Sends a request and reads the complete response. Fails with `peer_unreachable` if no connection was made
-/// and with `outcome_unknown` if the response was lost after the request may have been sent.
+/// and with `outcome_unknown` if the response was lost or cut short after the request may have been sent. A
+/// response without a length or chunks ends with its connection.
 result<http_client_response> http_send(const http_client_request& request);
 
 /// Sends a request and passes the body on as it arrives, on the calling thread; `on_data` returns false to
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -2,62 +2,82 @@
 
 #include "lovage/adapters/settings.h"
 
-#include <boost/asio.hpp>
+#include <algorithm>
+#include <cctype>
+#include <curl/curl.h>
 #include <memory>
 #include <mutex>
-#include <ulfius.h>
 
 namespace lovage {
 
 namespace {
 
-struct request_deleter {
-    void operator()(struct _u_request* request) const { ulfius_clean_request_full(request); }
+struct handle_deleter {
+    void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
 };
-struct response_deleter {
-    void operator()(struct _u_response* response) const { ulfius_clean_response_full(response); }
+struct list_deleter {
+    void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
-using request_ptr = std::unique_ptr<struct _u_request, request_deleter>;
-using response_ptr = std::unique_ptr<struct _u_response, response_deleter>;
+using handle_ptr = std::unique_ptr<CURL, handle_deleter>;
+using list_ptr = std::unique_ptr<curl_slist, list_deleter>;
 
-request_ptr make_request(const http_client_request& source) {
-    static std::once_flag once;
-    std::call_once(once, [] { ulfius_global_init(); });
-
-    request_ptr request(static_cast<struct _u_request*>(o_malloc(sizeof(struct _u_request))));
-    ulfius_init_request(request.get());
-    // ulfius takes the timeout in whole seconds.
-    const auto seconds = static_cast<unsigned long>((source.timeout.count() + 999) / 1'000);
-    ulfius_set_request_properties(request.get(), U_OPT_HTTP_VERB, source.method.c_str(), U_OPT_HTTP_URL,
-                                  source.url.c_str(), U_OPT_TIMEOUT, seconds, U_OPT_NONE);
-    for (const auto& [name, value] : source.headers) {
-        u_map_put(request->map_header, name.c_str(), value.c_str());
+// The state of one exchange; the callbacks of curl write it.
+struct exchange_state {
+    http_client_response response;
+    const std::function<bool(std::string_view)>* on_data = nullptr;
+    /// A connection was made, so the request may have been sent.
+    bool is_connected = false;
+    /// The blank line that ends the head has been read. curl reports an answer that ends before it as
+    /// success, without a body.
+    bool has_whole_head = false;
+    bool is_stopped = false;
+};
+
+std::string_view trimmed(std::string_view text) {
+    const auto is_space = [](unsigned char c) { return std::isspace(c) != 0; };
+    while (!text.empty() && is_space(text.front())) {
+        text.remove_prefix(1);
     }
-    if (!source.body.empty()) {
-        ulfius_set_request_properties(request.get(), U_OPT_BINARY_BODY, source.body.data(),
-                                      source.body.size(), U_OPT_NONE);
+    while (!text.empty() && is_space(text.back())) {
+        text.remove_suffix(1);
     }
-    // Without this header curl waits up to a second for "100 Continue" before it sends a large body.
-    u_map_put(request->map_header, "Expect", "");
-    return request;
+    return text;
 }
 
-response_ptr make_response() {
-    response_ptr response(static_cast<struct _u_response*>(o_malloc(sizeof(struct _u_response))));
-    ulfius_init_response(response.get());
-    return response;
+int on_connected(void* user_data, char* /*remote_ip*/, char* /*local_ip*/, int /*remote_port*/,
+                 int /*local_port*/) {
+    static_cast<exchange_state*>(user_data)->is_connected = true;
+    return CURL_PREREQFUNC_OK;
 }
 
-http_client_response read_response(const struct _u_response& source) {
-    http_client_response response;
-    response.status = static_cast<int>(source.status);
-    for (int i = 0; i < source.map_header->nb_values; ++i) {
-        response.headers[source.map_header->keys[i]] = source.map_header->values[i];
+// Called with each whole line of a head, and of a trailer.
+size_t read_head_line(const char* data, size_t size, size_t count, void* user_data) {
+    auto* state = static_cast<exchange_state*>(user_data);
+    const std::string_view line(data, size * count);
+    const auto text = trimmed(line);
+    const auto colon = text.find(':');
+    if (line.substr(0, 5) == "HTTP/") {
+        // An informational head may come before the head of the answer.
+        state->response.headers.clear();
+        state->has_whole_head = false;
+    } else if (text.empty()) {
+        state->has_whole_head = true;
+    } else if (colon != std::string_view::npos) {
+        state->response.headers[std::string(trimmed(text.substr(0, colon)))] =
+            trimmed(text.substr(colon + 1));
     }
-    if (source.binary_body != nullptr) {
-        response.body.assign(static_cast<const char*>(source.binary_body), source.binary_body_length);
+    return line.size();
+}
+
+size_t read_body(const char* data, size_t size, size_t count, void* user_data) {
+    auto* state = static_cast<exchange_state*>(user_data);
+    const std::string_view bytes(data, size * count);
+    if (state->on_data == nullptr) {
+        state->response.body.append(bytes);
+        return bytes.size();
     }
-    return response;
+    state->is_stopped = !(*state->on_data)(bytes);
+    return state->is_stopped ? 0 : bytes.size();
 }
 
 std::string authority_of(const std::string& url) {
@@ -66,66 +86,88 @@
     return url.substr(begin, url.find('/', begin) - begin);
 }
 
-// ulfius does not distinguish a failed connect from a lost response, so a connection is opened first to test
-// it.
-bool can_connect(const std::string& url, milliseconds limit) {
-    const auto address = parse_endpoint(authority_of(url));
-    if (!address) {
-        return false;
+list_ptr make_fields(const http_client_request& request) {
+    // Without the empty field curl waits up to a second for "100 Continue" before it sends a large body.
+    list_ptr fields(curl_slist_append(nullptr, "Expect:"));
+    for (const auto& [name, value] : request.headers) {
+        // A semicolon in place of the colon sends a field without a value.
+        std::string field = name;
+        field.append(value.empty() ? ";" : ": ").append(value);
+        curl_slist_append(fields.get(), field.c_str());
     }
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    boost::system::error_code outcome = boost::asio::error::would_block;
-    const boost::asio::ip::tcp::endpoint remote(boost::asio::ip::make_address(address->ip), address->port);
-    socket.async_connect(remote, [&outcome](const boost::system::error_code& code) { outcome = code; });
-    context.run_for(limit);
-    return !outcome;
+    return fields;
 }
 
-struct stream_sink {
-    const std::function<bool(std::string_view)>* on_data;
-    bool stopped = false;
-};
+handle_ptr make_handle(const http_client_request& request, const list_ptr& fields, exchange_state& state) {
+    static std::once_flag once;
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+
+    handle_ptr handle(curl_easy_init());
+    auto* raw = handle.get();
+    curl_easy_setopt(raw, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(raw, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(raw, CURLOPT_PROXY, "");
+    curl_easy_setopt(raw, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    // Timeouts without signals, which would reach other threads.
+    curl_easy_setopt(raw, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(raw, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connect_timeout.count()));
+    curl_easy_setopt(raw, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    curl_easy_setopt(raw, CURLOPT_HTTPHEADER, fields.get());
+    if (!request.body.empty()) {
+        curl_easy_setopt(raw, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+        curl_easy_setopt(raw, CURLOPT_POSTFIELDS, request.body.data());
+    }
+    if (request.method == "HEAD") {
+        curl_easy_setopt(raw, CURLOPT_NOBODY, 1L);
+    }
+    curl_easy_setopt(raw, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(raw, CURLOPT_PREREQFUNCTION, on_connected);
+    curl_easy_setopt(raw, CURLOPT_PREREQDATA, &state);
+    curl_easy_setopt(raw, CURLOPT_HEADERFUNCTION, read_head_line);
+    curl_easy_setopt(raw, CURLOPT_HEADERDATA, &state);
+    curl_easy_setopt(raw, CURLOPT_WRITEFUNCTION, read_body);
+    curl_easy_setopt(raw, CURLOPT_WRITEDATA, &state);
+    return handle;
+}
 
-size_t write_stream(void* contents, size_t size, size_t count, void* user_data) {
-    auto* sink = static_cast<stream_sink*>(user_data);
-    if (!(*sink->on_data)(std::string_view(static_cast<const char*>(contents), size * count))) {
-        sink->stopped = true;
-        return 0;
+result<http_client_response> exchange(const http_client_request& request,
+                                      const std::function<bool(std::string_view)>* on_data) {
+    const auto authority = authority_of(request.url);
+    // Only addresses: the resolver would take its time on a name.
+    if (const auto address = parse_endpoint(authority); !address) {
+        return fail(error_kind::peer_unreachable, address.error().detail);
+    }
+    exchange_state state;
+    state.on_data = on_data;
+    const list_ptr fields = make_fields(request);
+    const handle_ptr handle = make_handle(request, fields, state);
+    const auto outcome = curl_easy_perform(handle.get());
+    if (state.is_stopped) {
+        return fail(error_kind::cancelled, "the stream was stopped");
     }
-    return size * count;
+    if (!state.is_connected) {
+        return fail(error_kind::peer_unreachable,
+                    "no connection to " + authority + ": " + curl_easy_strerror(outcome));
+    }
+    if (outcome != CURLE_OK || !state.has_whole_head) {
+        const char* reason = outcome != CURLE_OK ? curl_easy_strerror(outcome) : "its head was cut short";
+        return fail(error_kind::outcome_unknown, "no whole answer from " + authority + ": " + reason);
+    }
+    long status = 0;
+    curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
+    state.response.status = static_cast<int>(status);
+    return std::move(state.response);
 }
 
 } // namespace
 
 result<http_client_response> http_send(const http_client_request& request) {
-    if (!can_connect(request.url, request.connect_timeout)) {
-        return fail(error_kind::peer_unreachable, "no connection to " + authority_of(request.url));
-    }
-    const request_ptr outgoing = make_request(request);
-    const response_ptr incoming = make_response();
-    if (ulfius_send_http_request(outgoing.get(), incoming.get()) != U_OK) {
-        return fail(error_kind::outcome_unknown, "no answer from " + authority_of(request.url));
-    }
-    return read_response(*incoming);
+    return exchange(request, nullptr);
 }
 
 result<http_client_response> http_send_streaming(const http_client_request& request,
                                                  const std::function<bool(std::string_view)>& on_data) {
-    if (!can_connect(request.url, request.connect_timeout)) {
-        return fail(error_kind::peer_unreachable, "no connection to " + authority_of(request.url));
-    }
-    const request_ptr outgoing = make_request(request);
-    const response_ptr incoming = make_response();
-    stream_sink sink{&on_data};
-    const int sent = ulfius_send_http_streaming_request(outgoing.get(), incoming.get(), write_stream, &sink);
-    if (sink.stopped) {
-        return fail(error_kind::cancelled, "the stream was stopped");
-    }
-    if (sent != U_OK) {
-        return fail(error_kind::outcome_unknown, "the stream from " + authority_of(request.url) + " broke");
-    }
-    return read_response(*incoming);
+    return exchange(request, &on_data);
 }
 
 } // namespace lovage
--- /dev/null
+++ b/tests/unit/http_client_test.cpp
@@ -0,0 +1,130 @@
+#include "lovage/adapters/http_client.h"
+
+#include "lovage/adapters/engine_http.h"
+#include "lovage/adapters/metrics.h"
+#include "lovage/adapters/service_http.h"
+#include "support/cut_answers.h"
+#include "support/free_port.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace lovage {
+
+namespace {
+
+using testing::answer_cut;
+using testing::cut_answers;
+using testing::make_cut_server;
+using testing::scripted_connection;
+using testing::scripted_server;
+
+// Guards against an answer of a server that stops in the middle of its head or body and is taken as whole.
+TEST_CASE("an answer that is cut short is no answer") {
+    const auto test = GENERATE(from_range(cut_answers()));
+    CAPTURE(test.name);
+    const auto server = make_cut_server(test);
+    http_client_request request;
+    request.url = "http://" + server.address() + "/x";
+    const auto whole = http_send(request);
+    CHECK(whole.has_value() == (test.cut == answer_cut::nowhere));
+    CHECK((whole ? whole->body : "") == test.body);
+    CHECK((whole || whole.error().kind == error_kind::outcome_unknown));
+}
+
+// Guards against a stream that counts as ended although its head or body was cut.
+TEST_CASE("a stream that is cut short has not ended") {
+    const auto test = GENERATE(from_range(cut_answers()));
+    CAPTURE(test.name);
+    const auto server = make_cut_server(test);
+    http_client_request request;
+    request.url = "http://" + server.address() + "/x";
+    std::string received;
+    const auto streamed = http_send_streaming(request, [&received](std::string_view bytes) {
+        received += bytes;
+        return true;
+    });
+    CHECK(streamed.has_value() == (test.cut == answer_cut::nowhere));
+    CHECK((!streamed || received == test.body));
+    CHECK((streamed || streamed.error().kind == error_kind::outcome_unknown));
+}
+
+// Guards against a call that a plain service may have run and whose cut answer is passed on as its result.
+TEST_CASE("a cut answer of a service is no result of its call") {
+    const auto test = GENERATE(from_range(cut_answers()));
+    CAPTURE(test.name);
+    const auto server = make_cut_server(test);
+    metrics counters;
+    service_http_options options;
+    options.address = server.address();
+    // The first poll takes one connection.
+    options.health_interval = milliseconds(60'000);
+    const auto service = service_http::create(options, counters);
+    REQUIRE(service);
+    call_message call;
+    call.method = "GET";
+    call.path = "/x";
+    const auto reply = (*service)->port().call(call);
+    CHECK(reply.has_value() == (test.cut == answer_cut::nowhere));
+    CHECK((reply ? reply->body : "") == test.body);
+    CHECK((reply || reply.error().kind == error_kind::outcome_unknown));
+}
+
+// Guards against a request that was not sent and counts as perhaps run, and one to an odd address.
+TEST_CASE("a request that cannot be sent has not run") {
+    const auto address = GENERATE_COPY(
+        from_range(std::vector<std::string>{free_address(), "", "host:80", "127.0.0.1", "127.0.0.1:0"}));
+    CAPTURE(address);
+    http_client_request request;
+    request.url = "http://" + address + "/x";
+    const auto answer = http_send(request);
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().kind == error_kind::peer_unreachable);
+}
+
+struct stream_end_case {
+    const char* name;
+    std::string bytes;
+    std::size_t tokens;
+    bool is_finished;
+};
+
+// Guards against a stream that ends inside an event, or without its last one, and counts as finished.
+TEST_CASE("a stream of an engine is finished only by its whole last event") {
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string token = "event: token\ndata: {\"index\": 0, \"text\": \"a\"}\n\n";
+    const std::string done = "event: done\ndata: {\"total\": 1, \"reason\": \"stop\"}\n";
+    const auto test = GENERATE_COPY(from_range(std::vector<stream_end_case>{
+        {"whole, ends with its connection", head + "\r\n" + token + done + "\n", 1, true},
+        {"inside its last event", head + "\r\n" + token + done, 1, false},
+        {"inside a token", head + "\r\n" + token.substr(0, token.size() - 1), 0, false},
+        {"without its last event", head + "\r\n" + token, 1, false},
+        {"inside a field of the head", head + "Content-Ty", 0, false},
+        {"without the blank line", head, 0, false},
+        {"empty", head + "\r\n", 0, false},
+    }));
+    CAPTURE(test.name);
+    const scripted_connection planned{{test.bytes}, false};
+    const scripted_server server(std::vector<scripted_connection>(4, planned));
+    metrics counters;
+    engine_http_options options;
+    options.address = server.address();
+    options.load_interval = milliseconds(60'000);
+    const auto engine = engine_http::create(options, counters);
+    REQUIRE(engine);
+    std::size_t tokens = 0;
+    engine_stream stream;
+    stream.on_token = [&tokens](token_index /*index*/, const std::string& /*text*/) {
+        ++tokens;
+        return true;
+    };
+    const auto finish = (*engine)->port().generate({}, {}, {}, stream);
+    CHECK(finish.has_value() == test.is_finished);
+    CHECK(tokens == test.tokens);
+    CHECK((finish || finish.error().kind == error_kind::target_failed));
+}
+
+} // namespace
+
+} // namespace lovage
--- a/tests/unit/target_pool_test.cpp
+++ b/tests/unit/target_pool_test.cpp
@@ -1,6 +1,7 @@
 #include "lovage/adapters/gateway/target_pool.h"
 
 #include "request_codec.h"
+#include "support/cut_answers.h"
 #include "support/free_port.h"
 #include "support/scripted_server.h"
 
@@ -15,6 +16,9 @@
 
 namespace {
 
+using testing::answer_cut;
+using testing::cut_answers;
+using testing::make_cut_server;
 using testing::scripted_connection;
 using testing::scripted_server;
 
@@ -37,6 +41,7 @@
 class pool_client {
 public:
     struct outcome {
+        bool has_head = false;
         bool is_complete = false;
         std::string body;
         std::optional<attempt_end> failure;
@@ -99,7 +104,7 @@
         outcome result;
         bool is_done = false;
         attempt_events events;
-        events.on_head = [](const answer_head&) {};
+        events.on_head = [&result](const answer_head&) { result.has_head = true; };
         events.on_body = [&result](std::string_view bytes) { result.body += bytes; };
         events.on_end = [&] {
             result.is_complete = true;
@@ -241,6 +246,20 @@
     CHECK(server.requests().size() == 2);
 }
 
+// Guards against an answer whose target stops in the middle of it, and which reaches a caller as whole.
+TEST_CASE("an answer that is cut short has no head or no end") {
+    const auto test = GENERATE(from_range(cut_answers()));
+    CAPTURE(test.name);
+    const auto server = make_cut_server(test);
+    pool_client client;
+    const auto answer = client.call(server.address());
+    CAPTURE(answer.detail);
+    CHECK(answer.has_head == (test.cut != answer_cut::head));
+    CHECK(answer.is_complete == (test.cut == answer_cut::nowhere));
+    CHECK((answer.failure == attempt_end::broken) == (test.cut != answer_cut::nowhere));
+    CHECK((test.cut != answer_cut::nowhere || answer.body == test.body));
+}
+
 struct upload_case {
     const char* name;
     std::size_t body_bytes;
