--- a/src/adapters/gateway/http_channel.cpp
+++ b/src/adapters/gateway/http_channel.cpp
@@ -27,6 +27,8 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+using response_parser = http::response_parser<http::string_body>;
+
 // A page of the store holds about 1 MB of values; base64 and JSON make it larger.
 constexpr std::uint64_t k_max_response_bytes = 16'777'216;
 // A response body must arrive at this rate in bytes per second on average, beyond the timeout of the call.
@@ -62,7 +64,7 @@
     }
     error_code connect(const tcp::endpoint& endpoint, time_point deadline);
     error_code send(const channel_request& request, time_point deadline);
-    error_code receive(http::response_parser<http::string_body>& parser, time_point deadline);
+    error_code receive(std::optional<response_parser>& parser, time_point deadline);
     result<channel_answer> call(const channel_request& request, time_point deadline);
 };
 
@@ -94,26 +96,32 @@
     return failure;
 }
 
-error_code http_channel::state::receive(http::response_parser<http::string_body>& parser,
-                                        time_point deadline) {
+error_code http_channel::state::receive(std::optional<response_parser>& parser, time_point deadline) {
     error_code failure;
     const auto store_outcome = [&failure](const error_code& outcome, std::size_t /*bytes*/) {
         failure = outcome;
     };
     stream->expires_at(deadline);
-    http::async_read_header(*stream, buffer, parser, store_outcome);
-    run();
-    while (!failure && !parser.is_done()) {
-        stream->expires_at(body_deadline(deadline, parser.get().body().size(), monotonic_now()));
-        http::async_read_some(*stream, buffer, parser, store_outcome);
+    int informational_heads = -1;
+    do {
+        if (++informational_heads > k_max_informational_heads) {
+            return http::error::header_limit;
+        }
+        parser.emplace();
+        parser->body_limit(k_max_response_bytes);
+        http::async_read_header(*stream, buffer, *parser, store_outcome);
+        run();
+    } while (!failure && parser->get().result_int() < 200);
+    while (!failure && !parser->is_done()) {
+        stream->expires_at(body_deadline(deadline, parser->get().body().size(), monotonic_now()));
+        http::async_read_some(*stream, buffer, *parser, store_outcome);
         run();
     }
     return failure;
 }
 
 result<channel_answer> http_channel::state::call(const channel_request& request, time_point deadline) {
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(k_max_response_bytes);
+    std::optional<response_parser> parser;
     auto failure = send(request, deadline);
     if (!failure) {
         failure = receive(parser, deadline);
@@ -122,9 +130,9 @@
         close();
         return fail(error_kind::store_unavailable, failure ? failure.message() : "stopped");
     }
-    channel_answer answer{static_cast<int>(parser.get().result_int()), std::move(parser.get().body())};
+    channel_answer answer{static_cast<int>(parser->get().result_int()), std::move(parser->get().body())};
     // Bytes beyond the answer would be taken for the answer to the next request.
-    if (!parser.get().keep_alive() || buffer.size() > 0) {
+    if (!parser->get().keep_alive() || buffer.size() > 0) {
         close();
     }
     return answer;
--- a/src/adapters/gateway/target_connection.h
+++ b/src/adapters/gateway/target_connection.h
@@ -9,6 +9,10 @@
 
 namespace lovage {
 
+/// Maximum number of informational responses (1xx) before an answer. Servers send none or a single one; a
+/// faulty one could send them without end.
+inline constexpr int k_max_informational_heads = 8;
+
 /// A connection to a target. Asynchronous operations keep it alive through the `target_exchange` that owns
 /// it.
 struct target_connection {
--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -30,9 +30,6 @@
 // Seconds before the first keepalive probe and between probes, and the number of probes; the minimum of each.
 constexpr int k_keepalive = 1;
 constexpr std::uint32_t k_max_response_head_bytes = 65'536;
-// Informational responses (1xx) that may precede the answer. Targets send none or a single one; a faulty one
-// could send them without end.
-constexpr int k_max_informational_heads = 8;
 
 bool has_body(const forwarded_request& request) {
     return !request.body.empty() || request.method == "POST" || request.method == "PUT" ||
--- a/tests/unit/http_channel_test.cpp
+++ b/tests/unit/http_channel_test.cpp
@@ -1,6 +1,7 @@
 #include "lovage/adapters/gateway/http_channel.h"
 
 #include "lovage/core/time.h"
+#include "support/cut_answers.h"
 #include "support/scripted_server.h"
 
 #include <boost/asio.hpp>
@@ -15,6 +16,9 @@
 
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
+using testing::answer_cut;
+using testing::cut_answers;
+using testing::make_cut_server;
 using testing::scripted_connection;
 using testing::scripted_server;
 
@@ -47,6 +51,28 @@
     CHECK(second->body == "second");
 }
 
+// Guards against an answer of the store that is cut short and read as whole.
+TEST_CASE("an answer of the store that is cut short is none") {
+    const auto test = GENERATE(from_range(cut_answers()));
+    CAPTURE(test.name);
+    const auto server = make_cut_server(test);
+    http_channel channel(server.address());
+    const auto answer = channel.exchange({"GET", "/x", "", milliseconds(1'000)});
+    CHECK(answer.has_value() == (test.cut == answer_cut::nowhere));
+    CHECK((answer ? answer->body : "") == test.body);
+}
+
+// Guards against a call that lasts as long as the store sends informational heads.
+TEST_CASE("informational heads without end are no answer of the store") {
+    std::string heads;
+    for (int i = 0; i < 100; ++i) {
+        heads += "HTTP/1.1 103 Early Hints\r\n\r\n";
+    }
+    scripted_server server({{{heads + answer_of("late")}, false}});
+    http_channel channel(server.address());
+    CHECK_FALSE(channel.exchange({"GET", "/x", "", milliseconds(1'000)}));
+}
+
 // Guards against a call to a slow store that takes twice its timeout, once for the connect and once for the
 // answer.
 TEST_CASE("the timeout of a call includes its connect") {
