Answer a caller whose service sent no final status (LOST)

What callers saw: the connection was closed without an answer.

Cause: an entry passes the status of a service's answer on as an agent states it. The HTTP library closes the connection without an answer for a status below 100 or above 999, and for an informational one.

Change: the HTTP server answers 502, outcome unknown, in place of a status that is no final one.

Before: 5 rows of "an answer with an odd content type or status is sent" get no answer (status 0, 99, 101, 199, 1000). Odd content types were sent or left out already; a request that is at work for longer than the idle time is answered ("a request at work does not make its connection idle", no change).

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -110,6 +110,12 @@
     }
 }
 
+// Answers of services are passed on as they are, but the HTTP library closes the connection without an answer
+// for another status than that of a final response.
+bool is_final_status(int status) {
+    return status >= 200 && status <= 999;
+}
+
 void write_response(http_response response, struct _u_response* target) {
     for (const auto& [name, value] : response.headers) {
         u_map_put(target->map_header, name.c_str(), value.c_str());
@@ -167,6 +173,11 @@
     } catch (const std::exception& failure) {
         answer = error_response({error_kind::internal, failure.what()}, false);
     }
+    if (!is_final_status(answer.status)) {
+        answer = error_response(
+            {error_kind::outcome_unknown, "the status " + std::to_string(answer.status) + " is no final one"},
+            false);
+    }
     if (answer.stream) {
         // A streamed response stays active until its connection ends.
         auto on_close = std::move(answer.stream->on_close);
