--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,5 +1,6 @@
 #include "lovage/adapters/http_server.h"
 
+#include "lovage/adapters/log.h"
 #include "lovage/adapters/settings.h"
 
 #include <algorithm>
@@ -91,11 +92,17 @@
 ssize_t stream_next(void* user_data, uint64_t /*offset*/, char* out, size_t max) {
     auto* body = static_cast<stream_body*>(user_data);
     if (body->pending.empty()) {
-        auto chunk = body->stream.next();
-        if (!chunk) {
-            return U_STREAM_END;
+        try {
+            auto chunk = body->stream.next();
+            if (!chunk) {
+                return U_STREAM_END;
+            }
+            body->pending = std::move(*chunk);
+        } catch (const std::exception& failure) {
+            // An exception must not reach the C code of the caller. The stream is broken off.
+            log_event(log_level::error, "stream_failed", {{"detail", failure.what()}});
+            return U_STREAM_ERROR;
         }
-        body->pending = std::move(*chunk);
     }
     const std::size_t count = std::min(max, body->pending.size());
     std::copy_n(body->pending.data(), count, out);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -110,6 +110,24 @@
     CHECK(answer->body == "body");
 }
 
+// Guards against a process that ends because an exception leaves the function that produces a stream.
+TEST_CASE("a stream whose source fails is broken off") {
+    bool is_closed = false;
+    {
+        const test_server server([&is_closed](const http_request& /*request*/) {
+            http_response response;
+            response.stream = http_stream{};
+            response.stream->next = []() -> std::optional<std::string> {
+                throw std::runtime_error("no memory");
+            };
+            response.stream->on_close = [&is_closed] { is_closed = true; };
+            return response;
+        });
+        CHECK_FALSE(server.get());
+    }
+    CHECK(is_closed);
+}
+
 } // namespace
 
 } // namespace lovage
