--- a/src/adapters/json_text.cpp
+++ b/src/adapters/json_text.cpp
@@ -11,6 +11,9 @@
 using nlohmann::ordered_json;
 
 constexpr std::size_t k_max_depth = 16;
+// Deeper values could exhaust the stack, since the serializer recurses into them. Answers have up to four
+// levels.
+constexpr int k_max_parsed_depth = 64;
 
 std::string dump(const ordered_json& value) {
     return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
@@ -86,9 +89,16 @@
 } // namespace
 
 result<std::string> json_to_text(const std::string& json) {
-    const auto value = ordered_json::parse(json, nullptr, false);
-    if (value.is_discarded()) {
-        return fail(error_kind::protocol_error, "the answer is no JSON");
+    bool is_too_deep = false;
+    const auto check_depth = [&is_too_deep](int depth, ordered_json::parse_event_t /*event*/,
+                                            ordered_json& /*parsed*/) {
+        is_too_deep |= depth > k_max_parsed_depth;
+        return !is_too_deep;
+    };
+    const auto value = ordered_json::parse(json, check_depth, false);
+    if (value.is_discarded() || is_too_deep) {
+        return fail(error_kind::protocol_error,
+                    is_too_deep ? "the answer is nested too deeply" : "the answer is no JSON");
     }
     std::string text;
     add_value(text, value, 0);
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -4,11 +4,11 @@
 
 #include "lovage/adapters/gateway/peer_report_udp.h"
 #include "lovage/adapters/gateway/target_status_document.h"
+#include "support/odd_documents.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -278,38 +278,11 @@
     };
 }
 
-// The texts in which one value of the document is replaced by an odd one.
-std::vector<std::string> odd_variants(const std::string& sample) {
-    const std::vector<std::string> odd{
-        "null",   "true",  "-1", "0",  "0.5",      "18446744073709551615", "1e308",
-        "-1e308", R"("")", "[]", "{}", "[[[[]]]]", R"("\u0000\r\n")"};
-    const auto document = nlohmann::json::parse(sample);
-    std::vector<std::string> variants{"",
-                                      "null",
-                                      "[]",
-                                      "7",
-                                      sample.substr(0, sample.size() / 2),
-                                      "\xff",
-                                      std::string(100'000, '[') + std::string(100'000, ']')};
-    const auto flat = document.flatten();
-    for (const auto& [pointer, value] : flat.items()) {
-        // Also replaces the lists and objects around the value.
-        for (nlohmann::json::json_pointer place(pointer); !place.empty(); place = place.parent_pointer()) {
-            for (const auto& text : odd) {
-                auto changed = document;
-                changed[place] = nlohmann::json::parse(text);
-                variants.push_back(changed.dump());
-            }
-        }
-    }
-    return variants;
-}
-
 // Guards against a process that ends by itself because another one wrote a value of another type.
 TEST_CASE("no document of another process throws when it is decoded") {
     const auto test = GENERATE(from_range(decoders()));
     CAPTURE(test.name);
-    for (const auto& text : odd_variants(test.sample)) {
+    for (const auto& text : testing::odd_variants(test.sample)) {
         CAPTURE(text.substr(0, 400));
         CHECK_NOTHROW(test.decode(text));
     }
