--- a/src/adapters/config_document.cpp
+++ b/src/adapters/config_document.cpp
@@ -1,5 +1,7 @@
 #include "lovage/adapters/config_document.h"
 
+#include "lovage/core/time_limits.h"
+
 #include <nlohmann/json.hpp>
 
 namespace lovage {
@@ -87,8 +89,10 @@
     }
     const auto previous = read_number(body, "previous");
     const auto applied = read_number(body, "applied_ms");
-    if (!previous || !applied) {
-        return fail(error_kind::protocol_error, "previous, applied_ms: expected unsigned integers");
+    constexpr auto k_latest_ms = static_cast<std::uint64_t>(k_latest_wall_time.time_since_epoch().count());
+    if (!previous || !applied || *applied > k_latest_ms) {
+        return fail(error_kind::protocol_error,
+                    "previous, applied_ms: expected unsigned integers and a time before the year 10000");
     }
     document.previous = *previous;
     document.applied = wall_time(milliseconds(*applied));
--- a/src/adapters/gossip_codec.cpp
+++ b/src/adapters/gossip_codec.cpp
@@ -1,5 +1,7 @@
 #include "lovage/adapters/gossip_codec.h"
 
+#include "lovage/core/time_limits.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -19,8 +21,6 @@
 // An update takes at least 20 bytes and a veto at least 1, so no list has more items than a datagram has
 // bytes.
 constexpr std::size_t k_max_items = k_max_datagram_bytes;
-// The year 9999; later deadlines would overflow the arithmetic on them.
-constexpr std::uint64_t k_max_wall_ms = 253'370'764'800'000;
 constexpr double k_share_scale = 10'000.0;
 
 json encode_member(const member_info& member) {
@@ -110,10 +110,10 @@
     record.fencing = read_number<std::uint64_t>(field(value, 6));
     record.sequence = read_number<std::uint64_t>(field(value, 7));
     const auto deadline = read_number<std::uint64_t>(field(value, 8));
-    if (deadline > k_max_wall_ms) {
+    if (deadline > static_cast<std::uint64_t>(k_latest_wall_time.time_since_epoch().count())) {
         throw std::runtime_error("a deadline is out of range");
     }
-    record.deadline = wall_time(milliseconds(static_cast<std::int64_t>(deadline)));
+    record.deadline = wall_time(milliseconds(deadline));
     record.reason = read_text(field(value, 9));
     return record;
 }
--- a/tests/unit/decoder_test.cpp
+++ b/tests/unit/decoder_test.cpp
@@ -157,6 +157,35 @@
     }
 }
 
+struct time_case {
+    const char* name;
+    std::string milliseconds;
+    bool is_accepted;
+};
+
+// Guards against a deadline whose difference to another time overflows, so that a thread wakes up without
+// end.
+TEST_CASE("times of other processes are within the range of the clocks") {
+    const auto test = GENERATE(from_range(std::vector<time_case>{
+        {"epoch", "0", true},
+        {"year 9999", "253370764800000", true},
+        {"beyond the year 9999", "253370764800001", false},
+        {"beyond 63 bits", "9223372036854775808", false},
+        {"largest", "9223372036854775807", false},
+        {"before the epoch", "-1", false},
+        {"smallest", "-9223372036854775808", false},
+        {"fraction", "0.5", false},
+        {"beyond any integer", "1e300", false},
+    }));
+    CAPTURE(test.name);
+    const auto with = [&test](std::string document, const std::string& name) {
+        const auto at = document.find("\"" + name + "\":") + name.size() + 3;
+        return document.replace(at, 1, test.milliseconds);
+    };
+    CHECK(decode_move_record(with(k_move, "deadline_ms")).has_value() == test.is_accepted);
+    CHECK(decode_config_document(with(k_config_document, "applied_ms")).has_value() == test.is_accepted);
+}
+
 } // namespace
 
 } // namespace lovage
