--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,5 +1,6 @@
 #include "lovage/adapters/http_server.h"
 
+#include "lovage/adapters/log.h"
 #include "lovage/adapters/settings.h"
 
 #include <algorithm>
@@ -91,11 +92,17 @@
 ssize_t stream_next(void* user_data, uint64_t /*offset*/, char* out, size_t max) {
     auto* body = static_cast<stream_body*>(user_data);
     if (body->pending.empty()) {
-        auto chunk = body->stream.next();
-        if (!chunk) {
-            return U_STREAM_END;
+        try {
+            auto chunk = body->stream.next();
+            if (!chunk) {
+                return U_STREAM_END;
+            }
+            body->pending = std::move(*chunk);
+        } catch (const std::exception& failure) {
+            // An exception must not reach the C code of the caller. The stream is broken off.
+            log_event(log_level::error, "stream_failed", {{"detail", failure.what()}});
+            return U_STREAM_ERROR;
         }
-        body->pending = std::move(*chunk);
     }
     const std::size_t count = std::min(max, body->pending.size());
     std::copy_n(body->pending.data(), count, out);
@@ -110,6 +117,12 @@
     }
 }
 
+// Answers of services are passed on as they are, but the HTTP library closes the connection without an answer
+// for another status than that of a final response.
+bool is_final_status(int status) {
+    return status >= 200 && status <= 999;
+}
+
 void write_response(http_response response, struct _u_response* target) {
     for (const auto& [name, value] : response.headers) {
         u_map_put(target->map_header, name.c_str(), value.c_str());
@@ -167,6 +180,11 @@
     } catch (const std::exception& failure) {
         answer = error_response({error_kind::internal, failure.what()}, false);
     }
+    if (!is_final_status(answer.status)) {
+        answer = error_response(
+            {error_kind::outcome_unknown, "the status " + std::to_string(answer.status) + " is no final one"},
+            false);
+    }
     if (answer.stream) {
         // A streamed response stays active until its connection ends.
         auto on_close = std::move(answer.stream->on_close);
