Report the calls that a planned stop of an agent cannot finish (LOST)

What callers saw: at the end of the drain limit of an agent, a non-idempotent call in progress got no answer until the caller's own deadline (30 s if it set none), and then only "outcome unknown".

The agent exited with the calls in progress and in its queue. The entry cannot tell the closed connection from a cut one, so it waits for the same incarnation to return, which never happens.

Change: call_runner::end_calls reports running calls as outcome_unknown and queued ones as leaving and not run; a queued call that was reported cannot start any more, and a call that ends later is not reported again. Queued generations are refused as not run, so that an entry without another target can say so. Running generations need no message: entries resume them when the connection closes.

Before: "calls that a planned stop cannot finish ..." fails for the non-idempotent call (the answer comes with the deadline of 12 s); "the end of the process gives each call ..." fails in 2 of 6 assertions (end_calls without its body).

Conclusion: fixed for calls that have reached the agent. A call that crosses the closing of the connection is not.

--- a/include/lovage/traffic/agent.h
+++ b/include/lovage/traffic/agent.h
@@ -68,6 +68,9 @@
     void drain();
     /// Blocks until no work is left. Returns false if work remains after `limit`.
     bool wait_idle(milliseconds limit);
+    /// Gives the calls and queued generations that are left their final results, at the end of the process.
+    /// Entries resume running generations elsewhere when the connection closes.
+    void end_work();
     load_report_message report() const;
     std::vector<node_id> connected_entries() const;
 
--- a/include/lovage/traffic/call_runner.h
+++ b/include/lovage/traffic/call_runner.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -59,27 +60,37 @@
     void drain();
     /// Blocks until no call is running or queued. Returns false if that takes longer than `limit`.
     bool wait_idle(milliseconds limit);
+    /// Gives the calls that are left their final results, at the end of the process: those that run are
+    /// reported as `outcome_unknown`, queued ones as not run. Calls that end later are not reported again.
+    void end_calls();
     call_load load() const;
 
 private:
     struct job {
         node_id from;
         call_message call;
+        // Guarded by the mutex.
+        bool is_running = false;
     };
+    using job_ptr = std::shared_ptr<job>;
 
     call_runner(const call_runner_options& options, call_runner_ports ports);
     void run_worker();
     call_result_message run_call(const call_message& call) const;
     std::optional<error> refusal_reason(const call_message& call) const;
     void refuse(const job& refused, const error& reason);
+    bool start_job(const job_ptr& next);
+    void finish_job(const job_ptr& done, const call_result_message& result);
     void deliver(const job& done, const call_result_message& result);
 
     const call_runner_options m_options;
     const call_runner_ports m_ports;
-    event_queue<job> m_jobs;
+    event_queue<job_ptr> m_jobs;
     mutable std::mutex m_mutex;
     std::condition_variable m_idle;
     call_ledger m_ledger;
+    // The jobs that are queued or running and have no result yet.
+    std::set<job_ptr> m_unanswered;
     std::uint32_t m_running = 0;
     std::uint32_t m_queued = 0;
     bool m_is_draining = false;
--- a/include/lovage/traffic/generation_host.h
+++ b/include/lovage/traffic/generation_host.h
@@ -79,6 +79,8 @@
     bool is_idle() const;
     /// Blocks until no attempt is running or queued. Returns false if that takes longer than `limit`.
     bool wait_idle(milliseconds limit);
+    /// Refuses the queued attempts as not run, at the end of the process.
+    void refuse_queued();
     host_load load() const;
 
 private:
--- a/src/programs/lovage-agent/agent_program.cpp
+++ b/src/programs/lovage-agent/agent_program.cpp
@@ -223,6 +223,7 @@
     }
     agent->drain();
     const bool is_idle = agent->wait_idle(settings.drain_limit);
+    agent->end_work();
     log_event(log_level::info, "stopped", {{"finished_all_work", is_idle ? "true" : "false"}});
     (*peers)->stop();
     if (!is_idle || (engine != nullptr && engine->abandoned() > 0)) {
--- a/src/traffic/agent.cpp
+++ b/src/traffic/agent.cpp
@@ -161,6 +161,13 @@
     return m_generations->wait_idle(std::chrono::duration_cast<milliseconds>(end - monotonic_now()));
 }
 
+void agent::end_work() {
+    if (m_calls != nullptr) {
+        m_calls->end_calls();
+    }
+    m_generations->refuse_queued();
+}
+
 load_report_message agent::report() const {
     load_report_message report;
     report.target = m_options.target;
--- a/src/traffic/call_runner.cpp
+++ b/src/traffic/call_runner.cpp
@@ -66,12 +66,12 @@
 }
 
 void call_runner::on_call(const node_id& from, call_message call) {
-    job arrived{from, std::move(call)};
+    const auto arrived = std::make_shared<job>(job{from, std::move(call)});
     std::optional<error> reason;
     {
         std::unique_lock lock(m_mutex);
-        if (!arrived.call.repeatable) {
-            const auto decision = m_ledger.arrive(arrived.call, from, monotonic_now());
+        if (!arrived->call.repeatable) {
+            const auto decision = m_ledger.arrive(arrived->call, from, monotonic_now());
             if (decision.admission != call_admission::run) {
                 lock.unlock();
                 m_ports.count("calls_" + std::string(name_of(k_call_admission_names, decision.admission)) +
@@ -83,21 +83,23 @@
                 return;
             }
         }
-        reason = refusal_reason(arrived.call);
+        reason = refusal_reason(arrived->call);
         if (!reason) {
             ++m_queued;
+            m_unanswered.insert(arrived);
         }
     }
     if (reason) {
-        refuse(arrived, *reason);
+        refuse(*arrived, *reason);
         return;
     }
     if (!m_jobs.push(arrived)) {
         {
             const std::lock_guard lock(m_mutex);
             --m_queued;
+            m_unanswered.erase(arrived);
         }
-        refuse(arrived, {error_kind::leaving, "the target is leaving"});
+        refuse(*arrived, {error_kind::leaving, "the target is leaving"});
         return;
     }
     m_ports.on_change();
@@ -119,6 +121,46 @@
     }
 }
 
+// Returns false if the job's caller was told that it has not run.
+bool call_runner::start_job(const job_ptr& next) {
+    const std::lock_guard lock(m_mutex);
+    --m_queued;
+    if (m_unanswered.count(next) == 0) {
+        m_idle.notify_all();
+        return false;
+    }
+    next->is_running = true;
+    ++m_running;
+    return true;
+}
+
+void call_runner::finish_job(const job_ptr& done, const call_result_message& result) {
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_unanswered.erase(done) == 0) {
+            return;
+        }
+    }
+    deliver(*done, result);
+}
+
+void call_runner::end_calls() {
+    std::set<job_ptr> left;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_is_draining = true;
+        left.swap(m_unanswered);
+    }
+    // A job that is not in `m_unanswered` cannot start any more, so `is_running` no longer changes.
+    for (const auto& unanswered : left) {
+        const error reason = unanswered->is_running
+                                 ? error{error_kind::outcome_unknown, "the target's agent ended first", {}}
+                                 : error{error_kind::leaving, "the target is leaving", {}};
+        m_ports.count("calls_ended_by_stop_total", 1.0);
+        deliver(*unanswered, failed_result(unanswered->call.request, reason, !unanswered->is_running));
+    }
+}
+
 void call_runner::run_worker() {
     constexpr milliseconds idle_wait{60'000};
     while (true) {
@@ -129,16 +171,19 @@
             }
             continue;
         }
-        {
-            const std::lock_guard lock(m_mutex);
-            --m_queued;
-            ++m_running;
+        const job_ptr& accepted = *next;
+        if (!start_job(accepted)) {
+            continue;
         }
-        if (next->call.deadline != wall_time{} && next->call.deadline <= wall_now()) {
-            refuse(*next, {error_kind::deadline_exceeded, "the deadline passed in the queue"});
+        if (accepted->call.deadline != wall_time{} && accepted->call.deadline <= wall_now()) {
+            m_ports.count("calls_refused_total", 1.0);
+            finish_job(accepted,
+                       failed_result(accepted->call.request,
+                                     {error_kind::deadline_exceeded, "the deadline passed in the queue"},
+                                     true));
         } else {
             m_ports.count("calls_run_total", 1.0);
-            deliver(*next, run_call(next->call));
+            finish_job(accepted, run_call(accepted->call));
         }
         {
             const std::lock_guard lock(m_mutex);
--- a/src/traffic/generation_host.cpp
+++ b/src/traffic/generation_host.cpp
@@ -353,6 +353,18 @@
     return true;
 }
 
+void generation_host::refuse_queued() {
+    std::vector<session_ptr> queued;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_is_draining = true;
+        queued.swap(m_queue);
+    }
+    for (const auto& session : queued) {
+        session->refuse({error_kind::leaving, "the target is leaving"});
+    }
+}
+
 host_load generation_host::load() const {
     const std::uint32_t slot_count = slots();
     const std::lock_guard lock(m_mutex);
--- a/tests/process/service_call_test.cpp
+++ b/tests/process/service_call_test.cpp
@@ -3,9 +3,11 @@
 #include "lovage/adapters/http_client.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -52,6 +54,13 @@
     return *response;
 }
 
+struct service_fleet_options {
+    milliseconds work_delay{20};
+    /// Added to the settings of the entries and of the agent, as TOML.
+    std::string entry_settings;
+    std::string agent_settings;
+};
+
 // A fake platform, two entries, a fake service and its agent, all as processes.
 struct service_fleet {
     std::string platform_address = free_address();
@@ -63,7 +72,7 @@
     std::unique_ptr<child_process> agent;
     std::vector<std::unique_ptr<child_process>> entries;
 
-    service_fleet();
+    explicit service_fleet(const service_fleet_options& options = {});
     std::string url(std::size_t entry, const std::string& path) const {
         return "http://" + entry_http.at(entry) + "/v1/services/listings" + path;
     }
@@ -84,10 +93,14 @@
            "\"\nseeds = [\"" + seed + "\"]\n[store]\naddress = \"" + store + "\"\n";
 }
 
-service_fleet::service_fleet() {
+service_fleet::service_fleet(const service_fleet_options& options) {
     platform =
         start("lovage-fake-platform", {"--set", "http.address=\"" + platform_address + "\""}, "platform");
-    service = start("lovage-fake-service", {"--set", "address=\"" + service_address + "\""}, "service");
+    service = start("lovage-fake-service",
+                    {"--set", "address=\"" + service_address + "\"", "--set",
+                     "listing_delay_ms=" + std::to_string(options.work_delay.count()), "--set",
+                     "lodgement_delay_ms=" + std::to_string(options.work_delay.count())},
+                    "service");
     REQUIRE(wait_until_ok("http://" + platform_address + "/counts"));
     const nlohmann::json document = {
         {"operation", "1"}, {"author", "test"}, {"reason", "test"}, {"text", k_config}};
@@ -99,13 +112,15 @@
         entries.push_back(
             start("lovage-entry",
                   {"--settings", write_file(name + ".toml", node_settings(name, entry_http[i], gossip,
-                                                                          entry_gossip, platform_address))},
+                                                                          entry_gossip, platform_address) +
+                                                                options.entry_settings)},
                   name));
     }
     agent = start(
         "lovage-agent",
-        {"--settings", write_file("agent.toml", node_settings("agent-1", free_address(), free_address(),
-                                                              entry_gossip, platform_address) +
+        {"--settings", write_file("agent.toml", options.agent_settings +
+                                                    node_settings("agent-1", free_address(), free_address(),
+                                                                  entry_gossip, platform_address) +
                                                     "[target]\nname = \"service-1\"\nkind = \"service\"\n"
                                                     "address = \"" +
                                                     service_address + "\"\nservices = [\"listings\"]\n")},
@@ -170,6 +185,53 @@
     }
 }
 
+struct call_stop_case {
+    const char* name;
+    bool stops_entry;
+    const char* path;
+    error_kind kind;
+};
+
+// Guards against calls that are cut without an answer, or wait for their deadline, when the time that a
+// planned stop grants them is over.
+TEST_CASE("calls that a planned stop cannot finish get their final answer at its end") {
+    const auto test = GENERATE(from_range(std::vector<call_stop_case>{
+        {"agent, non-idempotent", false, "/listings", error_kind::outcome_unknown},
+        {"agent, idempotent", false, "/lodgements", error_kind::no_target},
+    }));
+    CAPTURE(test.name);
+    service_fleet_options options;
+    options.work_delay = milliseconds(15'000);
+    options.entry_settings = "[drain]\ngrace_ms = 1000\n";
+    options.agent_settings = "drain_limit_ms = 1000\n";
+    service_fleet fleet(options);
+    std::optional<http_client_response> response;
+    time_point answered_at{};
+    std::thread caller([&] {
+        http_client_request request;
+        request.method = "POST";
+        request.url = fleet.url(0, test.path);
+        request.headers = {{"X-Organisation", "o"}, {"Idempotency-Key", "k"}, {"X-Deadline-Ms", "12000"}};
+        request.body = "{}";
+        request.timeout = milliseconds(14'000);
+        if (auto received = http_send(request)) {
+            response = std::move(*received);
+        }
+        answered_at = monotonic_now();
+    });
+    std::this_thread::sleep_for(milliseconds(500));
+    child_process& stopped = test.stops_entry ? *fleet.entries[0] : *fleet.agent;
+    const time_point stopped_at = monotonic_now();
+    stopped.send_signal(SIGTERM);
+    CHECK(stopped.wait_for_exit(milliseconds(3'000)) == 0);
+    caller.join();
+    REQUIRE(response);
+    CHECK(answered_at - stopped_at < milliseconds(2'500));
+    const auto body = nlohmann::json::parse(response->body);
+    CHECK(body.at("error").at("kind") == std::string(to_string(test.kind)));
+    CHECK(body.at("error").at("not_run") == false);
+}
+
 } // namespace
 
 } // namespace lovage
--- a/tests/unit/call_runner_test.cpp
+++ b/tests/unit/call_runner_test.cpp
@@ -134,6 +134,34 @@
     CHECK(fixture.calls == calls);
 }
 
+// Guards against calls that the end of a planned stop cuts, so that their callers wait for the deadline.
+TEST_CASE("the end of the process gives each call that is left its final result") {
+    const bool repeatable = GENERATE(false, true);
+    CAPTURE(repeatable);
+    runner_fixture fixture;
+    fixture.call("a", 1, repeatable);
+    REQUIRE(wait_until([&] { return fixture.calls == 1; }));
+    fixture.call("b", 2, repeatable);
+    fixture.runner->drain();
+    CHECK_FALSE(fixture.runner->wait_idle(milliseconds(10)));
+    fixture.runner->end_calls();
+    const auto running = fixture.peers.sent<call_result_message>("a");
+    REQUIRE(running.size() == 1);
+    CHECK(running[0].kind == error_kind::outcome_unknown);
+    CHECK_FALSE(running[0].not_run);
+    const auto queued = fixture.peers.sent<call_result_message>("b");
+    REQUIRE(queued.size() == 1);
+    CHECK(queued[0].kind == error_kind::leaving);
+    CHECK(queued[0].not_run);
+
+    // What was reported stays true.
+    fixture.open();
+    CHECK(fixture.runner->wait_idle(milliseconds(2'000)));
+    CHECK(fixture.calls == 1);
+    CHECK(fixture.peers.sent<call_result_message>("a").size() == 1);
+    CHECK(fixture.peers.sent<call_result_message>("b").size() == 1);
+}
+
 struct service_failure_case {
     error_kind from_service;
     error_kind expected;
