Answer what is left at the end of a planned stop of an entry (LOST)

What callers saw: at the end of an entry's grace period most answers in progress were cut without a final event or a status. A non-idempotent call got nothing at all: the process waited for the call's deadline, past its grace period, and the kill of the platform cut it.

Answers that the entry handed over were written by the threads of their connections while the HTTP server was already closing these. Closing waits for handlers, and the handler of a call whose agent is disconnected waits for the agent until the call's deadline, here up to 24 h. The HTTP server counted a request only until its handler had returned, so the end of sending was guessed as 500 ms.

Change: drain follows core/shutdown_plan, as the gateway does. From its phase `ending` on, calls end (outcome_unknown, or `leaving` for idempotent ones), answers are handed over, and the process waits until these responses are sent, for at most 300 ms. The HTTP server counts a request from its first line until its response is sent, and the wait ends at once when one has ended (change_signal) instead of after sleeps of 20 ms. An idle entry now stops 3 s after the signal, not 0.5 s, so that the balancer has noticed that it is not ready.

Conclusion: fixed for requests whose first line has been read. Requests that cross the closing of a kept connection, and connections in the backlog at that moment, are still reset.

--- a/include/lovage/adapters/http_server.h
+++ b/include/lovage/adapters/http_server.h
@@ -63,6 +63,8 @@
     std::size_t max_body_bytes = 1U << 20U;
     /// Connections that are idle for longer are closed.
     std::uint32_t idle_timeout_s = 60;
+    /// Called when a request has ended: its response was sent, or its connection was lost.
+    std::function<void()> on_request_ended = [] {};
 };
 
 /// An HTTP server (ulfius) with one thread per connection; streams wait on condition variables.
@@ -77,7 +79,8 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
-    std::uint32_t open_connections() const;
+    /// Number of requests whose first line has been read and whose responses have not been sent.
+    std::uint32_t open_requests() const;
 
 private:
     http_server();
--- a/include/lovage/core/shutdown_plan.h
+++ b/include/lovage/core/shutdown_plan.h
@@ -45,6 +45,10 @@
 /// Returns the phase of a process that was asked to shut down, so never `serving`.
 shutdown_phase plan_shutdown(const shutdown_progress& facts);
 
+/// Returns the time since the stop signal at which the phase changes at the latest if the counts stay as they
+/// are.
+time_point::duration next_shutdown_check(const shutdown_progress& facts);
+
 /// What is known of a request that arrives at a process which was asked to shut down.
 struct late_request {
     time_point::duration since_stop_request{};
--- a/include/lovage/traffic/call_waiters.h
+++ b/include/lovage/traffic/call_waiters.h
@@ -29,7 +29,7 @@
         ticket& operator=(const ticket&) = delete;
 
         /// Blocks until the result arrives. Fails with `peer_unreachable` if the agent's connection is lost
-        /// and with `deadline_exceeded` at `deadline`.
+        /// and with `deadline_exceeded` at `deadline`, and with `leaving` after `stop`.
         result<call_result_message> wait_until(time_point deadline);
 
     private:
@@ -46,16 +46,21 @@
     void on_connected(const node_id& agent, incarnation agent_incarnation);
     void on_disconnected(const node_id& agent);
 
+    /// Ends all waits, now and later, at the end of the process.
+    void stop();
+    bool is_stopped() const;
+
     /// Returns the incarnation of the agent. Blocks until the agent is connected; `nullopt` if it is not by
-    /// `deadline`.
+    /// `deadline`, or after `stop`.
     std::optional<incarnation> wait_connected(const node_id& agent, time_point deadline);
 
     /// Blocks until any connection changes or any result arrives, at most until `deadline`.
     void wait_change(time_point deadline);
 
 private:
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::condition_variable m_changed;
+    bool m_is_stopped = false;
     std::unordered_multimap<request_id, ticket*> m_tickets;
     std::map<node_id, incarnation> m_connected;
 };
--- a/include/lovage/traffic/entry_service.h
+++ b/include/lovage/traffic/entry_service.h
@@ -28,6 +28,8 @@
     routing_policy routing = routing_policy::two_choices;
     /// The entry's availability zone.
     std::string zone;
+    /// Called when an answer has ended, in any way.
+    std::function<void()> on_answer_ended = [] {};
 };
 
 /// A caller's request for a generation.
--- a/include/lovage/traffic/service_caller.h
+++ b/include/lovage/traffic/service_caller.h
@@ -59,6 +59,9 @@
     peer_events wrap_peer_events(peer_events next);
     /// Blocks until the call has a result, at most until its deadline, which must be set.
     service_call_result run(service_call_request request);
+    /// Ends the calls in progress, at the end of the process: non-idempotent ones with `outcome_unknown`, the
+    /// others with `leaving`.
+    void stop() { m_waiters.stop(); }
 
 private:
     service_call_result run_checked(const call_message& call, bool is_fresh);
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -25,12 +25,6 @@
 // The descriptor of the connection that the calling thread serves; there is one thread per connection.
 thread_local int t_connection = -1;
 
-void* record_connection(void* user_data, const char* uri, struct MHD_Connection* connection) {
-    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    t_connection = info != nullptr ? info->connect_fd : -1;
-    return ulfius_uri_logger(user_data, uri);
-}
-
 struct class_status {
     response_class answer;
     int status;
@@ -142,10 +136,29 @@
     std::atomic<std::uint32_t> active{0};
     bool started = false;
 
+    static void* begin_request(void* user_data, const char* uri, struct MHD_Connection* connection);
+    static void end_request(void* user_data, struct MHD_Connection* connection, void** request,
+                            enum MHD_RequestTerminationCode code);
     static int handle(const struct _u_request* request, struct _u_response* response, void* user_data);
     http_response respond(const http_request& request, const http_handler& handler);
 };
 
+void* http_server::state::begin_request(void* user_data, const char* uri, struct MHD_Connection* connection) {
+    ++static_cast<state*>(user_data)->active;
+    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    t_connection = info != nullptr ? info->connect_fd : -1;
+    return ulfius_uri_logger(nullptr, uri);
+}
+
+// Called once for each request that has begun.
+void http_server::state::end_request(void* user_data, struct MHD_Connection* connection, void** request,
+                                     enum MHD_RequestTerminationCode code) {
+    mhd_request_completed(nullptr, connection, request, code);
+    auto* owner = static_cast<state*>(user_data);
+    --owner->active;
+    owner->options.on_request_ended();
+}
+
 http_response http_server::state::respond(const http_request& request, const http_handler& handler) {
     if (request.body.size() > options.max_body_bytes) {
         return error_response({error_kind::request_too_large, "the body is larger than the limit"}, true);
@@ -160,25 +173,12 @@
                                void* user_data) {
     auto* entry = static_cast<route_entry*>(user_data);
     state* owner = entry->owner;
-    ++owner->active;
     http_response answer;
     try {
         answer = owner->respond(read_request(request), entry->handler);
     } catch (const std::exception& failure) {
         answer = error_response({error_kind::internal, failure.what()}, false);
     }
-    if (answer.stream) {
-        // A streamed response stays active until its connection ends.
-        auto on_close = std::move(answer.stream->on_close);
-        answer.stream->on_close = [owner, on_close] {
-            --owner->active;
-            if (on_close) {
-                on_close();
-            }
-        };
-    } else {
-        --owner->active;
-    }
     if (answer.close_without_response && t_connection >= 0) {
         ::shutdown(t_connection, SHUT_RDWR);
     }
@@ -216,8 +216,8 @@
     // The default start function of ulfius uses select, which fails for descriptors of 1024 and above; poll
     // has no such limit.
     std::array<MHD_OptionItem, 5> mhd_options{{
-        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(mhd_request_completed), nullptr},
-        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(record_connection), nullptr},
+        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&state::end_request), &state},
+        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&state::begin_request), &state},
         {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.max_connections) * k_connection_headroom,
          nullptr},
         {MHD_OPTION_SOCK_ADDR, 0, &state.address},
@@ -240,7 +240,7 @@
     }
 }
 
-std::uint32_t http_server::open_connections() const {
+std::uint32_t http_server::open_requests() const {
     return m_state->active.load();
 }
 
--- a/src/core/shutdown_plan.cpp
+++ b/src/core/shutdown_plan.cpp
@@ -1,5 +1,7 @@
 #include "lovage/core/shutdown_plan.h"
 
+#include <algorithm>
+
 namespace lovage {
 
 namespace {
@@ -33,6 +35,17 @@
                                                                                : shutdown_phase::leaving;
 }
 
+time_point::duration next_shutdown_check(const shutdown_progress& facts) {
+    time_point::duration next = facts.grace - k_exit_margin;
+    for (const milliseconds limit :
+         {k_readiness_delay, facts.grace - k_closing_time, facts.grace - k_kill_margin}) {
+        if (limit > facts.since_stop_request) {
+            next = std::min<time_point::duration>(next, limit);
+        }
+    }
+    return next;
+}
+
 bool may_start_late(const late_request& request) {
     const auto left = request.grace - k_kill_margin - request.since_stop_request;
     if (request.since_stop_request > k_readiness_delay) {
--- a/src/programs/lovage-entry/main.cpp
+++ b/src/programs/lovage-entry/main.cpp
@@ -10,21 +10,20 @@
 #include "lovage/adapters/peer_endpoint.h"
 #include "lovage/adapters/poller.h"
 #include "lovage/adapters/program.h"
+#include "lovage/control/change_signal.h"
+#include "lovage/core/shutdown_plan.h"
 #include "lovage/traffic/entry_service.h"
 #include "lovage/traffic/service_caller.h"
 
 #include <random>
-#include <thread>
 #include <variant>
 
 namespace lovage {
 
 namespace {
 
-constexpr milliseconds k_drain_poll{20};
-// The HTTP server counts a request from the end of its reading to the return of its handler. Requests that
-// are on their way when the last one ends, and answers that are being sent, get this long.
-constexpr milliseconds k_settle_time{500};
+// Maximum time for sending the final answers at the end of a planned stop.
+constexpr milliseconds k_final_answer_time{300};
 
 incarnation start_incarnation() {
     return static_cast<incarnation>(wall_now().time_since_epoch().count());
@@ -91,19 +90,31 @@
     }
 }
 
-// Waits until the requests in progress are complete, for at most the grace period.
-void drain(const entry_settings& settings, entry_service& service, const http_server& server) {
+// Waits until callers have been sent elsewhere and the requests in progress are complete, or the grace period
+// is nearly over. `changes` is notified when a request or an answer ends.
+void drain(const entry_settings& settings, entry_service& service, const http_server& server,
+           change_signal& changes) {
     log_event(log_level::info, "leaving", {{"live_answers", std::to_string(service.live_answers())}});
     service.leave();
-    time_point now = monotonic_now();
-    const time_point end = now + settings.grace;
-    time_point last_busy = now;
-    while (now < end && now - last_busy < k_settle_time) {
-        std::this_thread::sleep_for(k_drain_poll);
-        now = monotonic_now();
-        if (server.open_connections() + service.live_answers() > 0) {
-            last_busy = now;
+    const time_point started = monotonic_now();
+    shutdown_progress progress;
+    progress.grace = settings.grace;
+    while (true) {
+        progress.since_stop_request = monotonic_now() - started;
+        progress.requests = server.open_requests() + service.live_answers();
+        const auto phase = plan_shutdown(progress);
+        if (phase == shutdown_phase::ending || phase == shutdown_phase::stopped) {
+            return;
         }
+        changes.wait_until(started + next_shutdown_check(progress));
+    }
+}
+
+// Waits until the final answers have been sent; closing the server cuts what is left.
+void send_final_answers(const http_server& server, change_signal& changes) {
+    const time_point end = monotonic_now() + k_final_answer_time;
+    while (server.open_requests() > 0 && monotonic_now() < end) {
+        changes.wait_until(end);
     }
 }
 
@@ -138,8 +149,11 @@
         }
         control = std::move(*opened);
     }
+    change_signal changes;
+    entry_options service_options = settings.options;
+    service_options.on_answer_ended = [&changes] { changes.notify(); };
     const auto service =
-        entry_service::create(settings.options, (*endpoint)->port(), views,
+        entry_service::create(service_options, (*endpoint)->port(), views,
                               [&counters](const std::string& name, double by) { counters.count(name, by); });
     const auto claims = control ? std::make_shared<claim_store>(control->store(), monotonic_now) : nullptr;
     service_caller caller(caller_ports(*service, (*endpoint)->port(), views, counters, claims));
@@ -152,6 +166,7 @@
     options.port = address->port;
     options.max_connections = settings.max_connections;
     options.max_body_bytes = settings.max_body_bytes;
+    options.on_request_ended = [&changes] { changes.notify(); };
     auto server =
         http_server::start(options, entry_routes(settings, *service, caller, views, counters, control.get()));
     if (!server) {
@@ -170,13 +185,18 @@
     if (control) {
         control->control().leave();
     }
-    drain(settings, *service, **server);
+    drain(settings, *service, **server, changes);
     reporter.reset();
+    log_event(log_level::info, "requests_ended_by_stop",
+              {{"requests", std::to_string((*server)->open_requests())},
+               {"live_answers", std::to_string(service->live_answers())}});
+    caller.stop();
     // Agents offer the remaining answers to the entries that own them now.
     (*endpoint)->stop();
     service->stop();
+    send_final_answers(**server, changes);
+    log_event(log_level::info, "stopped", {{"requests_cut", std::to_string((*server)->open_requests())}});
     server->reset();
-    log_event(log_level::info, "stopped");
     return k_exit_ok;
 }
 
--- a/src/traffic/call_waiters.cpp
+++ b/src/traffic/call_waiters.cpp
@@ -23,10 +23,14 @@
 
 result<call_result_message> call_waiters::ticket::wait_until(time_point deadline) {
     std::unique_lock lock(m_owner.m_mutex);
-    m_owner.m_changed.wait_until(lock, deadline, [this] { return m_result.has_value() || m_disconnected; });
+    m_owner.m_changed.wait_until(
+        lock, deadline, [this] { return m_result.has_value() || m_disconnected || m_owner.m_is_stopped; });
     if (m_result) {
         return *m_result;
     }
+    if (m_owner.m_is_stopped) {
+        return fail(error_kind::leaving, "this entry has left");
+    }
     if (m_disconnected) {
         return fail(error_kind::peer_unreachable, "the connection to " + m_agent + " was lost");
     }
@@ -67,14 +71,30 @@
 
 std::optional<incarnation> call_waiters::wait_connected(const node_id& agent, time_point deadline) {
     std::unique_lock lock(m_mutex);
-    m_changed.wait_until(lock, deadline, [&] { return m_connected.count(agent) > 0; });
+    m_changed.wait_until(lock, deadline, [&] { return m_connected.count(agent) > 0 || m_is_stopped; });
     const auto found = m_connected.find(agent);
-    return found == m_connected.end() ? std::nullopt : std::optional<incarnation>(found->second);
+    return m_is_stopped || found == m_connected.end() ? std::nullopt
+                                                      : std::optional<incarnation>(found->second);
 }
 
 void call_waiters::wait_change(time_point deadline) {
     std::unique_lock lock(m_mutex);
-    m_changed.wait_until(lock, deadline);
+    if (!m_is_stopped) {
+        m_changed.wait_until(lock, deadline);
+    }
+}
+
+void call_waiters::stop() {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_is_stopped = true;
+    }
+    m_changed.notify_all();
+}
+
+bool call_waiters::is_stopped() const {
+    const std::lock_guard lock(m_mutex);
+    return m_is_stopped;
 }
 
 } // namespace lovage
--- a/src/traffic/entry_service.cpp
+++ b/src/traffic/entry_service.cpp
@@ -77,8 +77,10 @@
     context->was_dispatched = [table = m_table](const request_id& request) {
         return table->was_dispatched(request);
     };
-    context->on_ended = [table = m_table](const request_id& request, bool finished, std::size_t bytes) {
+    context->on_ended = [table = m_table, on_answer_ended = m_options.on_answer_ended](
+                            const request_id& request, bool finished, std::size_t bytes) {
         table->on_ended(request, finished, bytes, monotonic_now());
+        on_answer_ended();
     };
     m_context = std::move(context);
 }
--- a/src/traffic/plain_call.cpp
+++ b/src/traffic/plain_call.cpp
@@ -37,13 +37,15 @@
 }
 
 // Creates the claim of the call, or reads the existing one. Returns `nullopt` if the store gave no definite
-// answer before `deadline`.
+// answer before `deadline` or the end of the process.
 std::optional<claim_record> bind_claim(const call_message& call, const call_target& target,
-                                       const plain_call_ports& ports, time_point deadline) {
+                                       const plain_call_ports& ports, const call_waiters& waiters,
+                                       time_point deadline) {
     claim_progress progress;
     progress.wanted = {target.agent, target.incarnation, ports.random()};
     claim_action action = claim_action::create;
-    while (action != claim_action::dispatch && action != claim_action::give_up && ports.now() < deadline) {
+    while (action != claim_action::dispatch && action != claim_action::give_up && ports.now() < deadline &&
+           !waiters.is_stopped()) {
         action = action == claim_action::create
                      ? after_claim_create(progress, ports.create_claim(call.request, progress.wanted))
                      : after_claim_read(progress, ports.read_claim(call.request));
@@ -68,8 +70,9 @@
         if (answer && (answer->ok || !is_retryable_elsewhere(answer->kind))) {
             return to_outcome(*answer, may_have_run);
         }
-        if (!answer && answer.error().kind == error_kind::deadline_exceeded) {
-            return failed_with(error_kind::deadline_exceeded, answer.error().detail);
+        if (!answer && (answer.error().kind == error_kind::deadline_exceeded ||
+                        answer.error().kind == error_kind::leaving)) {
+            return failed_with(answer.error().kind, answer.error().detail);
         }
         excluded.insert(target->agent);
         if (!ports.try_spend_retry()) {
@@ -85,7 +88,7 @@
     if (!target) {
         return failed_with(error_kind::no_target, "no live target serves " + call.service);
     }
-    const auto claim = bind_claim(call, *target, ports, deadline);
+    const auto claim = bind_claim(call, *target, ports, waiters, deadline);
     if (!claim) {
         return failed_with(error_kind::store_unavailable, "the claim of the call could not be written");
     }
@@ -102,7 +105,7 @@
         if (answer) {
             return to_outcome(*answer);
         }
-        if (answer.error().kind == error_kind::deadline_exceeded) {
+        if (answer.error().kind == error_kind::deadline_exceeded || waiters.is_stopped()) {
             break;
         }
         // The connection may be up with a full send buffer, so a retry also happens without a change.
--- a/tests/process/entry_test.cpp
+++ b/tests/process/entry_test.cpp
@@ -1,4 +1,5 @@
 #include "child_process.h"
+#include "support/wait_until.h"
 
 #include "lovage/adapters/http_client.h"
 #include "lovage/adapters/metrics.h"
@@ -181,7 +182,8 @@
     std::vector<std::unique_ptr<simulated_agent>> agents;
     std::vector<entry_process> entries;
 
-    process_fleet(std::size_t entry_count, std::size_t agent_count, milliseconds interval) {
+    process_fleet(std::size_t entry_count, std::size_t agent_count, milliseconds interval,
+                  milliseconds grace = milliseconds(25'000)) {
         std::string members;
         for (std::size_t i = 0; i < agent_count; ++i) {
             const node_id node = "a" + std::to_string(i + 1);
@@ -195,13 +197,15 @@
                        entries.back().http_address + "\",";
         }
         for (auto& entry : entries) {
-            auto started = child_process::start(
-                "lovage-entry",
-                {"--set", "node=\"" + entry.node + "\"", "--set", "zone=\"z1\"", "--set", "region=\"ub\"",
-                 "--set", "http.address=\"" + entry.http_address + "\"", "--set",
-                 "peer.address=\"" + entry.peer_address + "\"", "--set", "static_services=[\"s m v1\"]",
-                 "--set", "answers.adoption_wait_ms=100", "--set", "static_members=[" + members + "]"},
-                "entry-" + entry.node);
+            auto started =
+                child_process::start("lovage-entry",
+                                     {"--set", "node=\"" + entry.node + "\"", "--set", "zone=\"z1\"", "--set",
+                                      "region=\"ub\"", "--set", "http.address=\"" + entry.http_address + "\"",
+                                      "--set", "peer.address=\"" + entry.peer_address + "\"", "--set",
+                                      "static_services=[\"s m v1\"]", "--set", "answers.adoption_wait_ms=100",
+                                      "--set", "drain.grace_ms=" + std::to_string(grace.count()), "--set",
+                                      "static_members=[" + members + "]"},
+                                     "entry-" + entry.node);
             REQUIRE(started);
             entry.process = std::move(*started);
         }
@@ -482,6 +486,43 @@
     CHECK(fleet.entries[0].process->wait_for_exit(milliseconds(5'000)) == 0);
 }
 
+// Guards against answers that the end of the grace period cuts without a final answer to the caller.
+TEST_CASE("answers that outlast the grace period of a planned stop get a final answer") {
+    const bool streamed = GENERATE(true, false);
+    CAPTURE(streamed);
+    process_fleet fleet(1, 1, milliseconds(5), milliseconds(1'000));
+    auto& entry = fleet.entries[0];
+    constexpr int callers = 8;
+    std::atomic<int> answered{0};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers; ++i) {
+        threads.emplace_back([&, key = "k" + std::to_string(i)] {
+            http_client_request request;
+            request.method = "POST";
+            request.url = entry.url("/v1/generations");
+            request.headers = {{"X-Organisation", "o"}, {"Idempotency-Key", key}};
+            request.body =
+                nlohmann::json{{"service", "s"}, {"prompt", "p"}, {"max_tokens", 2'000}, {"stream", streamed}}
+                    .dump();
+            request.timeout = milliseconds(5'000);
+            std::string received;
+            const auto response = http_send_streaming(request, [&](std::string_view bytes) {
+                received.append(bytes);
+                return true;
+            });
+            const bool is_answered = response && received.find("\"kind\":\"leaving\"") != std::string::npos;
+            answered += is_answered ? 1 : 0;
+        });
+    }
+    REQUIRE(wait_until([&] { return fleet.agents[0]->running() == callers; }));
+    entry.process->send_signal(SIGTERM);
+    CHECK(entry.process->wait_for_exit(milliseconds(3'000)) == 0);
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    CHECK(answered == callers);
+}
+
 struct late_request_case {
     const char* name;
     /// What the caller sends before the signal and after it.
--- a/tests/process/service_call_test.cpp
+++ b/tests/process/service_call_test.cpp
@@ -198,6 +198,8 @@
     const auto test = GENERATE(from_range(std::vector<call_stop_case>{
         {"agent, non-idempotent", false, "/listings", error_kind::outcome_unknown},
         {"agent, idempotent", false, "/lodgements", error_kind::no_target},
+        {"entry, non-idempotent", true, "/listings", error_kind::outcome_unknown},
+        {"entry, idempotent", true, "/lodgements", error_kind::leaving},
     }));
     CAPTURE(test.name);
     service_fleet_options options;
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -440,6 +440,31 @@
                          test.is_listening}) == test.phase);
 }
 
+// Guards against a process that waits past a change of phase, or that spins because its next check is due.
+TEST_CASE("the next check of a graceful shutdown is at the next change of phase") {
+    struct check_case {
+        std::int64_t since_ms;
+        std::int64_t grace_ms;
+        std::int64_t next_ms;
+    };
+    const auto test = GENERATE(from_range(std::vector<check_case>{{0, 8'000, 3'000},
+                                                                  {2'999, 8'000, 3'000},
+                                                                  {3'000, 8'000, 6'700},
+                                                                  {6'700, 8'000, 7'700},
+                                                                  {7'700, 8'000, 7'900},
+                                                                  {0, 3'200, 1'900},
+                                                                  {1'900, 3'200, 2'900},
+                                                                  {0, 1'000, 700},
+                                                                  {0, 200, 100}}));
+    CAPTURE(test.since_ms, test.grace_ms);
+    shutdown_progress progress;
+    progress.since_stop_request = milliseconds(test.since_ms);
+    progress.grace = milliseconds(test.grace_ms);
+    progress.requests = 1;
+    CHECK(next_shutdown_check(progress) == milliseconds(test.next_ms));
+    CHECK(next_shutdown_check(progress) > progress.since_stop_request);
+}
+
 // Guards against requests that a process takes late in its grace period and cuts at its end.
 TEST_CASE("a request that arrives during a shutdown starts only if it gets its final answer") {
     struct late_case {
--- a/tests/unit/plain_call_test.cpp
+++ b/tests/unit/plain_call_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace lovage {
@@ -17,7 +18,8 @@
     // The first message is accepted for a connection that closes; the next one reaches the agent.
     reconnects,
     tombstoned,
-    not_connected
+    not_connected,
+    silent
 };
 
 struct fake_agent {
@@ -66,6 +68,8 @@
         return true;
     case agent_behaviour::not_connected:
         return false;
+    case agent_behaviour::silent:
+        return true;
     }
     waiters.on_result(agent, result);
     return true;
@@ -279,6 +283,46 @@
     CHECK(fleet.asked == test.asked);
 }
 
+struct stop_case {
+    const char* name;
+    bool repeatable;
+    bool is_connected;
+    store_mode store;
+    error_kind kind;
+};
+
+// Guards against calls that wait for their deadline while the process that runs them ends.
+TEST_CASE("the end of the process ends calls in progress") {
+    const auto test = GENERATE(from_range(std::vector<stop_case>{
+        {"idempotent", true, true, store_mode::works, error_kind::leaving},
+        {"claimed and sent", false, true, store_mode::works, error_kind::outcome_unknown},
+        {"claimed, agent away", false, false, store_mode::works, error_kind::outcome_unknown},
+        {"not claimed", false, true, store_mode::down, error_kind::store_unavailable},
+    }));
+    CAPTURE(test.name);
+    fake_fleet fleet;
+    fleet.agents = {{"a", {agent_behaviour::silent, 1}}};
+    fleet.store = test.store;
+    if (test.is_connected) {
+        fleet.waiters.on_connected("a", 1);
+    }
+    call_message call;
+    call.request = {0, 1};
+    call.repeatable = test.repeatable;
+    std::thread stopper([&] {
+        std::this_thread::sleep_for(milliseconds(50));
+        fleet.waiters.stop();
+    });
+    const auto run = test.repeatable ? run_repeatable_call : run_claimed_call;
+    const time_point started = monotonic_now();
+    const auto outcome = run(call, fleet.ports(), fleet.waiters, started + milliseconds(5'000));
+    stopper.join();
+    CHECK(monotonic_now() - started < milliseconds(2'000));
+    REQUIRE_FALSE(outcome.reply);
+    CHECK(outcome.reply.error().kind == test.kind);
+    CHECK_FALSE(outcome.not_run);
+}
+
 } // namespace
 
 } // namespace lovage
