--- a/include/lovage/adapters/program.h
+++ b/include/lovage/adapters/program.h
@@ -20,18 +20,20 @@
     std::string summary;
     /// Reads and checks all settings. Also called for `--check`, so it must have no side effects.
     std::function<result<void>(settings_reader&)> configure;
-    /// Whether the program handles SIGTERM and SIGINT in its own event loop instead of `wait_for_stop`.
+    /// Whether the program handles SIGTERM, SIGINT and SIGHUP in its own event loop instead of
+    /// `wait_for_stop`.
     bool handles_signals = false;
     /// Runs until `wait_for_stop` returns; returns the exit code.
     std::function<int()> run;
 };
 
 /// Parses the command line (--settings FILE, --set KEY=VALUE, --check, --log-level, --help, --version), reads
-/// the settings and runs the program. Returns the exit code. SIGTERM and SIGINT are blocked in all threads,
-/// for `wait_for_stop`, unless the program handles them itself.
+/// the settings and runs the program. Returns the exit code. SIGTERM, SIGINT and SIGHUP are blocked in all
+/// threads, for `wait_for_stop`, unless the program handles them itself.
 int run_program(int argc, const char** argv, const program& program);
 
-/// Blocks the calling thread until SIGTERM or SIGINT, which `run_program` has blocked in all threads.
+/// Blocks the calling thread until SIGTERM or SIGINT. SIGHUP is only logged. `run_program` has blocked these
+/// signals in all threads.
 void wait_for_stop();
 
 } // namespace lovage
--- a/src/adapters/base/program.cpp
+++ b/src/adapters/base/program.cpp
@@ -87,11 +87,14 @@
     return line;
 }
 
-sigset_t stop_signals() {
+// The signals that `wait_for_stop` receives. SIGHUP is among them because its default action ends the
+// process.
+sigset_t handled_signals() {
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     return set;
 }
 
@@ -134,7 +137,7 @@
         return code;
     }
     if (!program.handles_signals) {
-        const sigset_t signals = stop_signals();
+        const sigset_t signals = handled_signals();
         pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     }
     std::signal(SIGPIPE, SIG_IGN);
@@ -145,9 +148,12 @@
 }
 
 void wait_for_stop() {
-    const sigset_t signals = stop_signals();
+    const sigset_t signals = handled_signals();
     int received = 0;
-    sigwait(&signals, &received);
+    while (sigwait(&signals, &received) == 0 && received == SIGHUP) {
+        // Settings are read only at start-up; the operators' configuration comes from the store.
+        log_event(log_level::info, "reload_requested", {{"outcome", "settings apply at the next start"}});
+    }
 }
 
 } // namespace lovage
--- a/tests/process/entry_test.cpp
+++ b/tests/process/entry_test.cpp
@@ -469,15 +469,32 @@
     CHECK(caller.done.at("total") == 300);
 }
 
-// Guards against requests that a graceful shutdown interrupts.
+struct signal_case {
+    const char* name;
+    std::vector<int> signals;
+};
+
+// Guards against requests that a graceful shutdown interrupts, and against a process that SIGHUP or a second
+// stop signal ends.
 TEST_CASE("SIGTERM lets answers in progress complete") {
+    const auto test = GENERATE(from_range(std::vector<signal_case>{
+        {"SIGTERM", {SIGTERM}},
+        {"SIGHUP first", {SIGHUP, SIGTERM}},
+        {"SIGHUP during the stop", {SIGTERM, SIGHUP}},
+        {"twice", {SIGTERM, SIGTERM}},
+        {"SIGINT during the stop", {SIGTERM, SIGINT}},
+    }));
+    CAPTURE(test.name);
     process_fleet fleet(1, 1, milliseconds(5));
     stream_caller caller;
     bool sent = false;
     REQUIRE(caller.run(fleet.entries[0], "k", 200, [&] {
         if (!sent && caller.next >= 20) {
             sent = true;
-            fleet.entries[0].process->send_signal(SIGTERM);
+            for (const int number : test.signals) {
+                fleet.entries[0].process->send_signal(number);
+                std::this_thread::sleep_for(milliseconds(20));
+            }
         }
         return false;
     }));
