--- a/tests/unit/prompt_quarantine_test.cpp
+++ b/tests/unit/prompt_quarantine_test.cpp
@@ -67,6 +67,31 @@
          {{0, {"x"}}, {10, {"x"}}, {20, {"x"}}, {300, {"x"}}, {400, {"x"}}},
          {"x"},
          {}},
+        {"a part that has succeeded before is suspected last",
+         {{-900, {"a"}, true}, {0, {"a", "x"}}, {800, {"a", "x"}}, {1'600, {"a", "x"}}},
+         {"b", "x"},
+         {"x"}},
+        {"crashes of other prompts with it do not count against it",
+         {{-900, {"a"}, true}, {0, {"a", "x"}}, {800, {"a", "x"}}, {1'600, {"a", "x"}}, {2'400, {"a", "y"}}},
+         {"a", "z"},
+         {}},
+        {"a part that has succeeded before and crashes alone",
+         {{-900, {"x"}, true}, {0, {"x"}}, {800, {"x"}}, {1'600, {"x"}}},
+         {"x"},
+         {"x"}},
+        {"a part that has succeeded before and crashes beside new ones",
+         {{-900, {"x"}, true}, {0, {"x", "a"}}, {800, {"x", "b"}}, {1'600, {"x", "c"}}, {2'400, {"x", "d"}}},
+         {"x"},
+         {}},
+        {"the same, once more",
+         {{-900, {"x"}, true},
+          {0, {"x", "a"}},
+          {800, {"x", "b"}},
+          {1'600, {"x", "c"}},
+          {2'400, {"x", "d"}},
+          {3'200, {"x", "e"}}},
+         {"x"},
+         {"x"}},
         {"a prompt without shared parts", {{0, {}}, {800, {}}, {1'600, {}}}, {}, {}},
     }));
     CAPTURE(test.name);
@@ -142,6 +167,18 @@
     CHECK(quarantined_parts(quarantine, "service", {"x"}).empty() != test.is_quarantined);
 }
 
+// Guards against memory that grows with the number of prompts, and against a sound part that is suspected
+// because its success was dropped while its crash is remembered.
+TEST_CASE("successes are remembered for a limited number of parts") {
+    auto quarantine = play({{0, {"x"}}});
+    record_successes(quarantine, {"x"}, k_start);
+    for (std::size_t i = 0; i < 4 * k_max_proven_parts; ++i) {
+        record_successes(quarantine, {"p" + std::to_string(i)}, k_start + milliseconds(i));
+    }
+    CHECK(quarantine.successes.size() <= k_max_proven_parts + 1);
+    CHECK(quarantine.successes.count("x") == 1);
+}
+
 // Guards against old crashes that reports never mention, so that a new process does not learn of them.
 TEST_CASE("reports mention the newest crashes and the others in turn") {
     std::vector<step> steps;
