Order the store's revisions over its restorations from a copy (CONFIG)

What callers saw: after the store had come back from a copy, a route that had been added was refused with 404 for good by gateways that had been cut off, frozen or reading seldom over the return.

The numbers that a copy has lost are given to other changes. A watch that goes on from a number of the lost history, after the new one has reached it, gets no 410 and misses every change before it. The same comparison decides on announcements of peers, on the record of a move (compare-and-swap), and on which of two entries with one address is the newer one.

Change: core/store_revision: a revision has the store's era in its upper bits, so that all these comparisons order the histories too. The client of the store reads `Store-Era` from every answer; a watch from another history fails as history_lost, a write that expects a revision of a lost one is not sent; both ports of a process share what they know.

--- a/include/lovage/adapters/gateway/http_channel.h
+++ b/include/lovage/adapters/gateway/http_channel.h
@@ -2,9 +2,11 @@
 
 #include "lovage/core/result.h"
 #include "lovage/core/time.h"
+#include "lovage/ports/target_port.h"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lovage {
 
@@ -22,6 +24,7 @@
 struct channel_answer {
     int status = 0;
     std::string body;
+    std::vector<header_field> fields;
 };
 
 /// Blocking HTTP client with one persistent connection to one server. Only one thread at a time may use it,
--- a/include/lovage/ports/store_port.h
+++ b/include/lovage/ports/store_port.h
@@ -12,7 +12,8 @@
 
 namespace lovage {
 
-/// A value of the platform's key-value store and the revision that wrote it (from 1; 0 means absent).
+/// A value of the platform's key-value store and the revision that wrote it (from 1; 0 means absent). If the
+/// store may come back from a copy, the adapter orders revisions over its restorations (store_revision.h).
 struct store_value {
     std::string value;
     std::uint64_t revision = 0;
--- a/src/adapters/gateway/http_channel.cpp
+++ b/src/adapters/gateway/http_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "target_connection.h"
 
+#include "lovage/adapters/gateway/connection_fields.h"
 #include "lovage/adapters/settings.h"
 
 #include <algorithm>
@@ -122,7 +123,8 @@
         close();
         return fail(error_kind::store_unavailable, failure ? failure.message() : "stopped");
     }
-    channel_answer answer{static_cast<int>(parser.get().result_int()), std::move(parser.get().body())};
+    channel_answer answer{static_cast<int>(parser.get().result_int()), std::move(parser.get().body()),
+                          end_to_end_fields(parser.get())};
     // Bytes beyond the answer would be taken for the answer to the next request.
     if (!parser.get().keep_alive() || buffer.size() > 0) {
         close();
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -1,6 +1,7 @@
 #include "lovage/control/gateway_control.h"
 
 #include "lovage/control/event_queue.h"
+#include "lovage/core/store_revision.h"
 
 #include <algorithm>
 #include <condition_variable>
@@ -112,6 +113,11 @@
         update.failure = page.error();
         return update;
     }
+    if (position.revision != 0 && !continues_history(position.revision, page->revision)) {
+        update.failure =
+            error{error_kind::history_lost, "the store was restored from a copy", milliseconds(0)};
+        return update;
+    }
     page_read read;
     read.revision = page->revision;
     read.has_more_pages = page->has_more && !page->items.empty();
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -123,8 +123,12 @@
     ports.moves = m_settings.moves;
     ports.freshness = m_settings.freshness;
     ports.random_seed = std::random_device{}();
-    ports.store = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
-    ports.writes = platform::make_store_kv({m_settings.store_address, k_store_timeout}, on_call);
+    // Both ports share what they learn of restorations of the store.
+    platform::store_kv_options options;
+    options.address = m_settings.store_address;
+    options.timeout = k_store_timeout;
+    ports.store = platform::make_store_kv(options, on_call);
+    ports.writes = platform::make_store_kv(options, on_call);
     ports.publish = [this](gateway_view_ptr view) {
         m_views.publish(std::move(view));
         asio::post(m_io, [this] {
