A restored store does not bring back targets that had left (CONFIG)

What callers saw: requests could be sent to a server that had announced its shutdown, or left, since the store's copy holds its entry as ready again; and work at a server whose entry the copy lacks could be given up.

Cause: an entry's phase was replaced by whatever the store holds, and the removal of an entry left no trace. An entry that is missing after a restoration counted as removed by a reliable store.

In a later era, an entry of a start that had announced it counts as draining; one that had been removed is used again only when the store would have removed the entry of a silent target (four heartbeats, new setting targets.heartbeat_ms). New line `store_restored`.

Conclusion: fixed for processes that have seen the withdrawal. A process that starts after the restoration trusts the copy until the server writes again or its entry expires.

--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -6,6 +6,7 @@
 #include "lovage/core/enum_names.h"
 #include "lovage/core/log_level.h"
 #include "lovage/core/time.h"
+#include "lovage/core/withdrawn_targets.h"
 
 #include <cstdint>
 #include <map>
@@ -58,6 +59,9 @@
     /// Set if the registration disappeared while the store was not reliable: the target stays in use until
     /// this time, and is removed then unless it has registered again.
     std::optional<time_point> removal_deadline;
+    /// Set if the entry is unconfirmed (withdrawn_targets.h): the target gets no new work until this time,
+    /// when the entry of a target that has left would have expired.
+    std::optional<time_point> withheld_until;
 };
 
 /// Whether the store can be reached, and when it was reached again after the last outage.
@@ -78,8 +82,15 @@
     gateway_documents documents;
     /// The active configuration; null until one is known.
     route_table_ptr table;
+    /// Era of the store that the last full read belongs to, and when this process first read it; nothing
+    /// before the first full read.
+    std::optional<std::uint64_t> era;
+    time_point era_seen{};
+    /// Time after which the store removes the entry of a target that is silent.
+    milliseconds entry_expiry{4'800};
     /// Targets by id.
     std::map<std::string, known_target> targets;
+    withdrawn_targets withdrawn;
     gateway_moves moves;
     /// Quarantined prompt parts, by the store's keys.
     std::map<std::string, quarantine_record> quarantines;
@@ -109,7 +120,8 @@
 /// Applies an update from the store.
 void apply_store_update(gateway_state& state, store_update update, time_point now);
 
-/// Removes targets that did not register again in time; returns when to call it next.
+/// Removes targets that did not register again in time and ends the withholding of those whose entries have
+/// outlived their expiry; returns when to call it next.
 time_point expire_targets(gateway_state& state, time_point now);
 
 /// Plans the moves of services and adds the writes that are due to `writes`; returns when to call it next.
--- a/include/lovage/core/read_interval.h
+++ b/include/lovage/core/read_interval.h
@@ -15,6 +15,8 @@
     milliseconds config{2'000};
     /// Maximum age of the last confirmation of the configuration at which API keys are accepted.
     milliseconds key_staleness{5'000};
+    /// Interval at which a target renews its entry. The store removes entries after three of them.
+    milliseconds target_heartbeat{1'200};
 };
 
 /// What is known when the next read of the store's changes is planned.
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -33,6 +33,9 @@
 // Interval at which the writer thread repeats a write of quarantined prompts while the store is away.
 constexpr milliseconds k_quarantine_retry_interval{1'000};
 
+// Heartbeats after which the removed entry of a silent target has been read: the store waits for three.
+constexpr int k_heartbeats_to_expiry = 4;
+
 // Longest wait of the writer thread before it checks again whether it must stop.
 constexpr milliseconds k_idle_wait{60'000};
 
@@ -285,6 +288,7 @@
     own.ports = std::move(ports);
     own.gateway.documents = own.ports.documents;
     own.gateway.moves.limits = own.ports.moves;
+    own.gateway.entry_expiry = own.ports.freshness.target_heartbeat * k_heartbeats_to_expiry;
     own.control = std::thread([&own] { own.run(); });
     own.watcher = std::thread([&own] { own.watch_store(); });
     own.writer = std::thread([&own] { own.write_records(); });
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -2,6 +2,7 @@
 
 #include "lovage/core/ids.h"
 #include "lovage/core/rendezvous.h"
+#include "lovage/core/store_revision.h"
 
 #include <algorithm>
 #include <set>
@@ -42,6 +43,21 @@
     }
 }
 
+// The store has come back from a copy: entries that are missing now may be written again, and what the copy
+// holds may have been withdrawn since.
+void begin_era(gateway_state& state, std::uint64_t era, std::uint64_t revision, time_point now) {
+    const auto before = std::exchange(state.era, era);
+    if (!before) {
+        return;
+    }
+    state.era_seen = now;
+    state.health.recovered_at = now;
+    add_log(state, log_level::warning, "store_restored",
+            {{"era", std::to_string(era)},
+             {"before", std::to_string(*before)},
+             {"revision", std::to_string(number_of(revision))}});
+}
+
 void adopt_table(gateway_state& state, route_table table, std::uint64_t revision) {
     // An older configuration never replaces the active one.
     if (state.table && table.version <= state.table->version) {
@@ -107,11 +123,12 @@
     }
 }
 
-void remove_target(gateway_state& state, const std::string& id, const char* reason) {
+void remove_target(gateway_state& state, const std::string& id, const char* reason, time_point now) {
     const auto found = state.targets.find(id);
     if (found == state.targets.end()) {
         return;
     }
+    record_withdrawal(state.withdrawn, found->second.record, state.era.value_or(0), now);
     add_log(state, log_level::info, "target_gone",
             {{"target", id}, {"service", found->second.record.service}, {"reason", reason}});
     state.targets.erase(found);
@@ -126,7 +143,7 @@
     const auto& health = state.health;
     // A target that announced its shutdown will not register again.
     if (is_reliable(health, now) || found->second.record.phase == target_phase::draining) {
-        remove_target(state, id, "store entry removed");
+        remove_target(state, id, "store entry removed", now);
         return;
     }
     const auto since = health.is_lost ? now : *health.recovered_at;
@@ -141,11 +158,22 @@
         mark_target_missing(state, id, now);
         return;
     }
+    const auto standing = judge_entry(state.withdrawn, *record, era_of(change.value->revision));
+    if (standing == entry_standing::outdated) {
+        record->phase = target_phase::draining;
+    } else if (record->phase == target_phase::draining) {
+        record_withdrawal(state.withdrawn, *record, era_of(change.value->revision), now);
+    }
     auto& known = state.targets[id];
     known.removal_deadline.reset();
     if (known.record == *record) {
         return;
     }
+    if (standing == entry_standing::unconfirmed) {
+        known.withheld_until = state.era_seen + state.entry_expiry;
+    } else {
+        known.withheld_until.reset();
+    }
     add_log(state, log_level::info, "target_known",
             {{"target", id},
              {"service", record->service},
@@ -153,6 +181,7 @@
              {"zone", record->zone},
              {"version", record->version},
              {"phase", std::string(name_of(k_target_phase_names, record->phase))},
+             {"standing", std::string(name_of(k_entry_standing_names, standing))},
              {"revision", std::to_string(change.value->revision)}});
     if (known.record.id.empty() || known.record.started_ms != record->started_ms) {
         known.created = change.value->revision;
@@ -215,7 +244,11 @@
         if (target.created < newest_by_address[target.record.address]) {
             continue;
         }
-        (*lists)[target.record.service].push_back(target.record);
+        auto& list = (*lists)[target.record.service];
+        list.push_back(target.record);
+        if (target.withheld_until) {
+            list.back().phase = target_phase::draining;
+        }
     }
     return lists;
 }
@@ -228,7 +261,7 @@
     for (const auto& [id, target] : state.targets) {
         const auto& record = target.record;
         if (record.service == service && record.version == version && record.phase == target_phase::ready &&
-            !target.removal_deadline) {
+            !target.removal_deadline && !target.withheld_until) {
             ids.push_back(id);
         }
     }
@@ -249,6 +282,9 @@
     record_store_success(state, update.revision, now);
     if (update.kind == store_update_kind::first_page) {
         state.keys_seen.emplace();
+        if (const auto era = era_of(update.revision); era != state.era) {
+            begin_era(state, era, update.revision, now);
+        }
     }
     const auto is_replaced = find_replaced(update.changes);
     for (std::size_t i = 0; i < update.changes.size(); ++i) {
@@ -281,6 +317,16 @@
     time_point next = now + k_idle_wait;
     std::vector<std::string> expired;
     for (auto& [id, target] : state.targets) {
+        if (target.withheld_until && state.health.is_lost) {
+            // Entries may not expire while the store is away.
+            target.withheld_until = now + state.entry_expiry;
+        }
+        if (target.withheld_until && *target.withheld_until <= now) {
+            target.withheld_until.reset();
+            state.is_targets_changed = true;
+        } else if (target.withheld_until) {
+            next = std::min(next, *target.withheld_until);
+        }
         if (!target.removal_deadline) {
             continue;
         }
@@ -295,7 +341,7 @@
         }
     }
     for (const auto& id : expired) {
-        remove_target(state, id, "store entry not restored after the outage");
+        remove_target(state, id, "store entry not restored after the outage", now);
     }
     return next;
 }
--- a/src/programs/lovage-gateway/gateway_settings.cpp
+++ b/src/programs/lovage-gateway/gateway_settings.cpp
@@ -37,6 +37,8 @@
         reader.duration_ms("freshness.drain_ms", settings.freshness.drain, milliseconds(1), k_max_duration);
     settings.freshness.config =
         reader.duration_ms("freshness.config_ms", settings.freshness.config, milliseconds(1), k_max_duration);
+    settings.freshness.target_heartbeat = reader.duration_ms(
+        "targets.heartbeat_ms", settings.freshness.target_heartbeat, milliseconds(1), k_max_duration);
     settings.freshness.key_staleness = settings.max_key_staleness;
     settings.moves.bad_share = reader.number("moves.bad_share", settings.moves.bad_share, 0.0, 1.0);
     settings.moves.bad_fixed = reader.number("moves.bad_fixed", settings.moves.bad_fixed, 0.0, 1e6);
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -2,6 +2,8 @@
 
 #include "documents.h"
 
+#include "lovage/core/store_revision.h"
+
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -74,6 +76,9 @@
     std::vector<std::string> found;
     if (view->targets && view->targets->count("s") > 0) {
         for (const auto& record : view->targets->at("s")) {
+            if (record.phase == target_phase::draining) {
+                continue;
+            }
             if (split == view->splits.end() ||
                 is_eligible_for_side(split->second, version_side::usual, record.id, record.version) ||
                 split->second.share > 0.0) {
@@ -242,6 +247,100 @@
     CHECK(usable_target_ids(state).size() == (test.is_kept ? 1 : 0));
 }
 
+store_change target_at(const std::string& phase, std::uint64_t revision, std::uint64_t started_ms) {
+    const std::string text = R"({"Service":"s","Address":"10.0.0.1:1","Zone":"a","State":")" + phase +
+                             R"(","born":)" + std::to_string(started_ms) + "}";
+    return {"servers/t1", store_value{text, revision}};
+}
+
+store_update restored_read(std::vector<store_change> changes, std::uint64_t era) {
+    auto update = full_read(std::move(changes));
+    update.revision = make_revision(era, 9);
+    return update;
+}
+
+struct restored_entry_case {
+    const char* name;
+    /// What was read of the target before the restoration.
+    std::vector<store_change> before;
+    /// What a copy holds of it, and what is read later.
+    std::vector<store_change> in_copy;
+    std::vector<store_change> later;
+    /// Usable soon after the restoration, and after entries of silent targets have expired.
+    bool is_usable_soon;
+    bool is_usable_later;
+};
+
+// Guards against a target that has left, or that announced its shutdown, and is in use again because the
+// store came back from an older copy; and against a live one that is given up because the copy lacks its
+// entry.
+TEST_CASE("a restored store does not bring back targets that were withdrawn") {
+    // Whether the store counts its first history as 0 or as 1.
+    const std::uint64_t era = GENERATE(0, 1);
+    const auto first = make_revision(era, 2);
+    const auto then = make_revision(era, 3);
+    const auto copied = make_revision(era + 1, 2);
+    const auto again = make_revision(era + 1, 10);
+    const store_change removed{"servers/t1", std::nullopt};
+    const auto test = GENERATE_COPY(from_range(std::vector<restored_entry_case>{
+        {"unchanged", {target_at("ready", first, 7)}, {target_at("ready", copied, 7)}, {}, true, true},
+        {"was draining",
+         {target_at("ready", first, 7), target_at("draining", then, 7)},
+         {target_at("ready", copied, 7)},
+         {},
+         false,
+         false},
+        {"was draining and left",
+         {target_at("ready", first, 7), target_at("draining", then, 7), removed},
+         {target_at("ready", copied, 7)},
+         {},
+         false,
+         false},
+        {"left and its entry expires",
+         {target_at("ready", first, 7), removed},
+         {target_at("ready", copied, 7)},
+         {removed},
+         false,
+         false},
+        {"had lost its lease and lives",
+         {target_at("ready", first, 7), removed},
+         {target_at("ready", copied, 7)},
+         {},
+         false,
+         true},
+        {"left and started anew",
+         {target_at("draining", first, 7), removed},
+         {target_at("ready", copied, 8)},
+         {},
+         true,
+         true},
+        {"not in the copy, registers again",
+         {target_at("ready", first, 7)},
+         {},
+         {target_at("ready", again, 7)},
+         true,
+         true},
+        {"not in the copy, does not register", {target_at("ready", first, 7)}, {}, {}, true, false},
+        {"draining, not in the copy", {target_at("draining", first, 7)}, {}, {}, false, false},
+    }));
+    CAPTURE(test.name);
+    auto state = make_state();
+    auto at_start = full_read({config(1, make_revision(era, 1))});
+    at_start.revision = make_revision(era, 1);
+    apply_store_update(state, at_start, at_ms(0));
+    for (const auto& change : test.before) {
+        apply_store_update(state, changes_only({change}), at_ms(100));
+    }
+    auto read = test.in_copy;
+    read.push_back(config(1, make_revision(era + 1, 1)));
+    apply_store_update(state, restored_read(read, era + 1), at_ms(10'000));
+    expire_targets(state, at_ms(11'900));
+    CHECK(usable_target_ids(state).size() == (test.is_usable_soon ? 1 : 0));
+    apply_store_update(state, changes_only(test.later), at_ms(11'950));
+    expire_targets(state, at_ms(15'000));
+    CHECK(usable_target_ids(state).size() == (test.is_usable_later ? 1 : 0));
+}
+
 // Guards against work for a target whose address another target has taken over, and for a version that is not
 // evaluated yet.
 TEST_CASE("replaced targets, and a version that requests are not yet moved to, are left out") {
