A restored store does not undo a rollout (CONFIG)

What callers and operators would see: a completed rollout reported as running, or started anew with a new deadline, after the store had come back from a copy in which its record, its status or its order is missing or older.

Cause: records of moves were taken by revision alone, an order by its revision alone, and what this system had written was believed to be there for good.

Change: an earlier state of a move's record never replaces a later one; a record that the copy lacks, or holds in an earlier state, is written again with its status once all records have been read, by the process whose turn it is. The id of a move uses the store's own number, so that the copy's order and record still belong together.

Conclusion: fixed as long as one process that knew the move is up.

--- a/include/lovage/control/gateway_moves.h
+++ b/include/lovage/control/gateway_moves.h
@@ -72,6 +72,8 @@
     bool is_writing = false;
     /// When this process learned that the move had completed or was rolled back.
     std::optional<time_point> over_since;
+    /// Set if a restored store lacks the order: it is dropped at this time unless it is written again.
+    std::optional<time_point> removal_deadline;
 };
 
 /// All moves of services. A move is the rollout of another version of a service's targets, which operators
@@ -87,6 +89,8 @@
     std::map<std::string, gateway_move> open;
     /// Stored records with their revisions, by service; also those whose order is not known yet.
     std::map<std::string, std::pair<move_record, std::uint64_t>> records;
+    /// Whether all records of the store's present era have been read.
+    bool are_records_read = true;
     evidence_table evidence;
     std::map<std::string, milliseconds> request_times;
     /// Number of processes that evaluate the evidence independently; it raises the threshold for a veto.
@@ -102,10 +106,17 @@
     std::vector<std::pair<std::string_view, std::vector<log_field>>> logs;
 };
 
-/// Applies a rollout order, which replaces an earlier order of its service, or the removal of an order.
+/// Applies a rollout order, which replaces an earlier order of its service, or the removal of an order. The
+/// same order that is written again in a later era of the store continues its move.
 void apply_rollout_order(gateway_moves& moves, const rollout_order& order, time_point now);
 void remove_rollout_order(gateway_moves& moves, const std::string& service);
 
+/// Applies the beginning of a full read in a new era of the store. What is known of the moves stays; records
+/// that the store lacks, or holds in an older state, are written again once `are_records_read` is set.
+void begin_moves_era(gateway_moves& moves);
+/// Drops the orders whose removal deadline has passed; returns the next deadline.
+std::optional<time_point> expire_orders(gateway_moves& moves, time_point now);
+
 /// Applies a record read from the store; older revisions than the known one are ignored.
 void apply_move_record(gateway_moves& moves, const move_record& record, std::uint64_t revision);
 
--- a/include/lovage/core/version_move.h
+++ b/include/lovage/core/version_move.h
@@ -50,7 +50,8 @@
     wall_time wall{};
 };
 
-/// Returns the id of the move that an order starts; unique over all orders of all services.
+/// Returns the id of the move that an order starts; unique over all orders of all services in one history of
+/// the store.
 std::string move_id(const rollout_order& order);
 
 /// Returns whether a version has more defects, on any one route or in total, than the baseline (the usual
--- a/src/control/gateway_moves.cpp
+++ b/src/control/gateway_moves.cpp
@@ -1,5 +1,7 @@
 #include "lovage/control/gateway_moves.h"
 
+#include "lovage/core/store_revision.h"
+
 #include <algorithm>
 
 namespace lovage {
@@ -80,9 +82,33 @@
     return input;
 }
 
+bool is_of_order(const move_record& record, const rollout_order& order) {
+    return record.id == move_id(order) && record.to == order.version;
+}
+
+// Whether a restored store lacks the record of the move, or holds it in an older state.
+bool is_record_lost(const gateway_moves& moves, const gateway_move& move) {
+    if (!move.record || !moves.are_records_read || move.removal_deadline) {
+        return false;
+    }
+    const auto stored = moves.records.find(move.order.service);
+    return stored == moves.records.end() || stored->second.second == 0 ||
+           !is_of_order(stored->second.first, move.order) ||
+           stored->second.first.sequence < move.record->sequence;
+}
+
+// Whether `order` is the operators' order `known`, written again after the store has lost it.
+bool is_written_again(const rollout_order& known, const rollout_order& order) {
+    return known.revision != 0 && era_of(known.revision) < era_of(order.revision) &&
+           known.version == order.version && known.duration_s == order.duration_s;
+}
+
 void plan(const gateway_moves& moves, gateway_move& move, time_point now, wall_time wall,
           moves_output& output) {
     auto record = plan_version_move(planning_input(moves, move, now, wall));
+    if (!record && is_record_lost(moves, move)) {
+        record = move.record;
+    }
     if (!record) {
         move.due_since.reset();
         return;
@@ -121,9 +147,11 @@
     if (found == moves.records.end()) {
         return;
     }
-    move.revision = found->second.second;
-    if (found->second.first.id == move_id(move.order)) {
-        move.record = found->second.first;
+    const auto& [record, revision] = found->second;
+    move.revision = revision;
+    // A restored store may hold an earlier state of the move.
+    if (is_of_order(record, move.order) && (!move.record || record.sequence >= move.record->sequence)) {
+        move.record = record;
     }
 }
 
@@ -131,9 +159,18 @@
 
 void apply_rollout_order(gateway_moves& moves, const rollout_order& order, time_point now) {
     auto& move = moves.open[order.service];
+    move.removal_deadline.reset();
     if (move.order.revision == order.revision) {
         return;
     }
+    if (is_written_again(move.order, order)) {
+        move.order = order;
+        if (move.record) {
+            move.record->id = move_id(order);
+        }
+        adopt_record(moves, move);
+        return;
+    }
     // Evidence from an earlier move does not apply to this one.
     auto& totals = moves.evidence.totals;
     for (auto counts = totals.begin(); counts != totals.end();) {
@@ -150,6 +187,32 @@
     moves.open.erase(service);
 }
 
+void begin_moves_era(gateway_moves& moves) {
+    moves.are_records_read = false;
+    for (auto& [service, stored] : moves.records) {
+        stored.second = 0;
+    }
+    for (auto& [service, move] : moves.open) {
+        move.revision = 0;
+    }
+}
+
+std::optional<time_point> expire_orders(gateway_moves& moves, time_point now) {
+    std::optional<time_point> next;
+    for (auto move = moves.open.begin(); move != moves.open.end();) {
+        const auto deadline = move->second.removal_deadline;
+        if (deadline && *deadline <= now) {
+            move = moves.open.erase(move);
+            continue;
+        }
+        if (deadline) {
+            next = std::min(next.value_or(*deadline), *deadline);
+        }
+        ++move;
+    }
+    return next;
+}
+
 void apply_move_record(gateway_moves& moves, const move_record& record, std::uint64_t revision) {
     auto& known = moves.records[record.model];
     if (revision < known.second) {
@@ -200,10 +263,13 @@
             move.over_since = move.over_since.value_or(now);
             const auto settled = *move.over_since + k_settle_time;
             next = settled > now ? std::min(next, settled) : next;
-            continue;
+            if (!is_record_lost(moves, move)) {
+                continue;
+            }
+        } else {
+            evaluate_move(moves, move, now, output);
         }
         next = std::min(next, now + k_planning_interval);
-        evaluate_move(moves, move, now, output);
         plan(moves, move, now, wall, output);
     }
     return next;
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -52,6 +52,7 @@
     }
     state.era_seen = now;
     state.health.recovered_at = now;
+    begin_moves_era(state.moves);
     add_log(state, log_level::warning, "store_restored",
             {{"era", std::to_string(era)},
              {"before", std::to_string(*before)},
@@ -218,8 +219,13 @@
 }
 
 void remove_absent(gateway_state& state, const store_keys_seen& seen, time_point now) {
+    const bool is_restored = state.health.recovered_at == state.era_seen;
     for (auto move = state.moves.open.begin(); move != state.moves.open.end();) {
-        move = seen.ordered_services.count(move->first) == 0 ? state.moves.open.erase(move) : std::next(move);
+        const bool is_missing = seen.ordered_services.count(move->first) == 0;
+        if (is_missing && is_restored && !is_reliable(state.health, now)) {
+            move->second.removal_deadline = state.era_seen + k_reregistration_timeout;
+        }
+        move = is_missing && !move->second.removal_deadline ? state.moves.open.erase(move) : std::next(move);
     }
     std::vector<std::string> missing;
     for (const auto& [id, target] : state.targets) {
@@ -305,6 +311,7 @@
     if (update.completes_read && state.keys_seen) {
         remove_absent(state, *state.keys_seen, now);
         state.keys_seen.reset();
+        state.moves.are_records_read = true;
     }
     const bool has_any = update.completes_read || !state.targets.empty();
     if (has_any && !std::exchange(state.has_targets, true)) {
@@ -340,6 +347,7 @@
             next = std::min(next, *target.removal_deadline);
         }
     }
+    next = std::min(next, expire_orders(state.moves, now).value_or(next));
     for (const auto& id : expired) {
         remove_target(state, id, "store entry not restored after the outage", now);
     }
--- a/src/core/version_move.cpp
+++ b/src/core/version_move.cpp
@@ -1,5 +1,7 @@
 #include "lovage/core/version_move.h"
 
+#include "lovage/core/store_revision.h"
+
 #include "lovage/core/rollout.h"
 
 #include <algorithm>
@@ -187,7 +189,8 @@
 }
 
 std::string move_id(const rollout_order& order) {
-    return order.service + "@" + std::to_string(order.revision);
+    // A copy from which the store comes back holds the order under the same number.
+    return order.service + "@" + std::to_string(number_of(order.revision));
 }
 
 std::optional<move_record> plan_version_move(const version_move_input& input) {
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -408,6 +408,101 @@
     CHECK(view_of(state)->splits.at("s").share == test.share);
 }
 
+store_change order_at(std::uint64_t revision) {
+    return {"op/rollout/s", store_value{R"({"Service":"s","Target":"v2","DurationS":12})", revision}};
+}
+
+store_change record_at(const std::string& id, move_phase phase, std::uint64_t sequence,
+                       std::uint64_t revision) {
+    move_record record;
+    record.id = id;
+    record.model = "s";
+    record.to = "v2";
+    record.phase = phase;
+    record.share = phase == move_phase::landed ? 1.0 : 0.1;
+    record.sequence = sequence;
+    record.deadline = wall_time(milliseconds(12'000));
+    const auto puts = platform::make_documents().encode_move(record);
+    return {puts[0].key, store_value{puts[0].value, revision}};
+}
+
+struct restored_move_case {
+    const char* name;
+    /// What the copy holds, and what is read a second later.
+    std::vector<store_change> in_copy;
+    std::vector<store_change> later;
+    bool is_open;
+    /// The record that is written again; an empty id for none.
+    std::string written_id;
+    std::uint64_t expected = 0;
+    std::uint64_t written_sequence = 0;
+};
+
+// Guards against a completed rollout that a restored store starts anew, reports as running, or forgets.
+TEST_CASE("a restored store does not undo a rollout") {
+    const auto copied_order = order_at(make_revision(2, 3));
+    const auto test = GENERATE_COPY(from_range(std::vector<restored_move_case>{
+        {"the same record",
+         {copied_order, record_at("s@3", move_phase::landed, 4, make_revision(2, 7))},
+         {},
+         true,
+         ""},
+        {"an earlier record",
+         {copied_order, record_at("s@3", move_phase::canary, 2, make_revision(2, 5))},
+         {},
+         true,
+         "s@3",
+         make_revision(2, 5),
+         5},
+        {"no record", {copied_order}, {}, true, "s@3", 0, 5},
+        {"the record of an earlier order",
+         {copied_order, record_at("s@1", move_phase::reverted, 9, make_revision(2, 2))},
+         {},
+         true,
+         "s@3",
+         make_revision(2, 2),
+         5},
+        {"neither record nor order, the order is written again",
+         {},
+         {order_at(make_revision(2, 11))},
+         true,
+         "s@11",
+         0,
+         5},
+        {"neither record nor order, for good", {}, {}, false, ""},
+        {"another process has written the record again",
+         {copied_order},
+         {record_at("s@3", move_phase::landed, 5, make_revision(2, 12))},
+         true,
+         ""},
+    }));
+    CAPTURE(test.name);
+    auto state = make_state();
+    state.moves.write_rank = 0;
+    auto before = full_read({config(1, make_revision(1, 1)), order_at(make_revision(1, 3)),
+                             record_at("s@3", move_phase::landed, 4, make_revision(1, 7))});
+    before.revision = make_revision(1, 8);
+    apply_store_update(state, before, at_ms(0));
+    REQUIRE(view_of(state)->splits.at("s").share == 1.0);
+
+    auto copy = test.in_copy;
+    copy.push_back(config(1, make_revision(2, 1)));
+    apply_store_update(state, restored_read(copy, 2), at_ms(5'000));
+    apply_store_update(state, changes_only(test.later), at_ms(6'000));
+    std::vector<move_write> writes;
+    plan_moves(state, at_ms(6'000), wall_time(milliseconds(6'000)), writes);
+    CHECK(writes.size() == (test.written_id.empty() ? 0 : 1));
+    if (!writes.empty()) {
+        CHECK(writes[0].record.id == test.written_id);
+        CHECK(writes[0].record.phase == move_phase::landed);
+        CHECK(writes[0].record.sequence == test.written_sequence);
+        CHECK(writes[0].expected == test.expected);
+    }
+    expire_targets(state, at_ms(7'300));
+    const auto splits = view_of(state)->splits;
+    CHECK((splits.count("s") == 1 && splits.at("s").share == 1.0) == test.is_open);
+}
+
 struct odd_entry_case {
     const char* name;
     std::string id;
