Write quarantined prompt parts again that a restored store lacks (CONFIG)

What callers would see: prompts that had crashed engines crashed more of them, once all processes that knew them had restarted after the store had lost their quarantine, lease and all.

Cause: a quarantine was written once, when its third crash was seen, and believed to be stored from then on.

Change: after the first full read of a new era, quarantines that are known and not in the copy are written again, by rank among the processes as for the records of moves; one that another process has written is left out.

Conclusion: fixed as long as one process that knew the quarantine is up.

--- a/include/lovage/control/gateway_state.h
+++ b/include/lovage/control/gateway_state.h
@@ -49,6 +49,14 @@
     std::set<std::string> targets;
     /// Services with an order of the operators.
     std::set<std::string> ordered_services;
+    /// Keys of quarantined prompt parts.
+    std::set<std::string> quarantines;
+};
+
+/// Quarantined prompt parts that a restored store lacks, and when this process writes them again.
+struct lost_quarantine {
+    quarantine_record record;
+    time_point due{};
 };
 
 /// A target and what is known of its registration in the store.
@@ -94,6 +102,7 @@
     gateway_moves moves;
     /// Quarantined prompt parts, by the store's keys.
     std::map<std::string, quarantine_record> quarantines;
+    std::map<std::string, lost_quarantine> lost_quarantines;
     store_health health;
     /// Whether targets have been read since the start, or a full read has found none.
     bool has_targets = false;
@@ -127,6 +136,12 @@
 /// Plans the moves of services and adds the writes that are due to `writes`; returns when to call it next.
 time_point plan_moves(gateway_state& state, time_point now, wall_time wall, std::vector<move_write>& writes);
 
+/// Adds the quarantined prompt parts that are due to be written again to `writes`; returns when to call it
+/// next. Each process waits for a time that grows with its rank among the writers, so that usually one
+/// writes.
+time_point take_lost_quarantines(gateway_state& state, time_point now,
+                                 std::vector<quarantine_record>& writes);
+
 /// Applies the result of a write of a move's record. A successful one counts as a change of the store, so
 /// that the peers read it at once.
 void apply_move_write(gateway_state& state, const move_write_result& written, time_point now);
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -268,6 +268,14 @@
             }
         }
         due_writes.clear();
+        std::vector<quarantine_record> lost;
+        next = std::min(next, take_lost_quarantines(gateway, now, lost));
+        for (auto& record : lost) {
+            if (!writes.push(std::move(record))) {
+                ports.log(
+                    {log_level::warning, "quarantine_dropped", {{"detail", "the queue of writes is full"}}});
+            }
+        }
         const auto before = gateway.view;
         auto view = make_gateway_view(gateway, now, wall);
         for (const auto& line : gateway.logs) {
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+// How long a process waits for each process with a lower write rank.
+constexpr milliseconds k_quarantine_stagger{400};
 // Longest time between two checks for expired targets.
 constexpr milliseconds k_idle_wait{60'000};
 
@@ -97,6 +99,10 @@
 }
 
 void adopt_quarantine(gateway_state& state, const std::string& key, const quarantine_record& record) {
+    state.lost_quarantines.erase(key);
+    if (state.keys_seen) {
+        state.keys_seen->quarantines.insert(key);
+    }
     if (state.quarantines.emplace(key, record).second) {
         add_log(state, log_level::info, "quarantine_known",
                 {{"key", key}, {"service", record.service}, {"parts", std::to_string(record.parts.size())}});
@@ -106,6 +112,7 @@
 void apply_operator_change(gateway_state& state, const store_change& change, time_point now) {
     if (!change.value) {
         state.quarantines.erase(change.key);
+        state.lost_quarantines.erase(change.key);
         remove_rollout_order(state.moves, state.documents.rollout_service(change.key));
         return;
     }
@@ -238,6 +245,16 @@
     }
 }
 
+// The store has lost what was written to it after its copy.
+void find_lost_quarantines(gateway_state& state, const store_keys_seen& seen, time_point now) {
+    const auto rank = static_cast<std::int64_t>(std::min(state.moves.write_rank, k_max_write_rank));
+    for (const auto& [key, record] : state.quarantines) {
+        if (seen.quarantines.count(key) == 0) {
+            state.lost_quarantines[key] = {record, now + k_quarantine_stagger * rank};
+        }
+    }
+}
+
 std::shared_ptr<const std::map<std::string, target_list>> list_usable_targets(const gateway_state& state) {
     // Of several targets with the same address, only the one that started last is running.
     std::map<std::string, std::uint64_t> newest_by_address;
@@ -310,6 +327,9 @@
     }
     if (update.completes_read && state.keys_seen) {
         remove_absent(state, *state.keys_seen, now);
+        if (!state.moves.are_records_read) {
+            find_lost_quarantines(state, *state.keys_seen, now);
+        }
         state.keys_seen.reset();
         state.moves.are_records_read = true;
     }
@@ -354,6 +374,21 @@
     return next;
 }
 
+time_point take_lost_quarantines(gateway_state& state, time_point now,
+                                 std::vector<quarantine_record>& writes) {
+    time_point next = now + k_idle_wait;
+    for (auto lost = state.lost_quarantines.begin(); lost != state.lost_quarantines.end();) {
+        if (lost->second.due <= now) {
+            writes.push_back(std::move(lost->second.record));
+            lost = state.lost_quarantines.erase(lost);
+        } else {
+            next = std::min(next, lost->second.due);
+            ++lost;
+        }
+    }
+    return next;
+}
+
 time_point plan_moves(gateway_state& state, time_point now, wall_time wall, std::vector<move_write>& writes) {
     for (const auto& [service, move] : state.moves.open) {
         set_ready_targets(state.moves, service, find_ready_targets(state, service, move.order.version));
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -503,6 +503,54 @@
     CHECK((splits.count("s") == 1 && splits.at("s").share == 1.0) == test.is_open);
 }
 
+struct lost_quarantine_case {
+    const char* name;
+    bool is_in_copy;
+    /// Whether another process has written it again after a second.
+    bool is_written_by_other;
+    std::size_t write_rank;
+    /// When it is checked what this process writes.
+    std::int64_t checked_at_ms;
+    std::size_t writes;
+};
+
+// Guards against crashing prompts that are run again by a process which starts after the store has lost their
+// quarantine, and against one write by each process of the fleet.
+TEST_CASE("quarantines that a restored store lacks are written again") {
+    const auto test = GENERATE(from_range(std::vector<lost_quarantine_case>{
+        {"in the copy", true, false, 0, 9'000, 0},
+        {"lost", false, false, 0, 5'000, 1},
+        {"lost, not this process's turn yet", false, false, 5, 6'900, 0},
+        {"lost, nobody else writes", false, false, 5, 7'000, 1},
+        {"lost, another process writes", false, true, 5, 7'000, 0},
+    }));
+    CAPTURE(test.name);
+    const auto put = platform::make_documents().encode_quarantine({"s", {"part"}});
+    const auto stored = [&put](std::uint64_t revision) {
+        return store_change{put.key, store_value{put.value, revision}};
+    };
+    auto state = make_state();
+    state.moves.write_rank = test.write_rank;
+    auto before = full_read({config(1, make_revision(1, 1)), stored(make_revision(1, 4))});
+    before.revision = make_revision(1, 4);
+    apply_store_update(state, before, at_ms(0));
+    std::vector<store_change> copy{config(1, make_revision(2, 1))};
+    if (test.is_in_copy) {
+        copy.push_back(stored(make_revision(2, 4)));
+    }
+    apply_store_update(state, restored_read(copy, 2), at_ms(5'000));
+    if (test.is_written_by_other) {
+        apply_store_update(state, changes_only({stored(make_revision(2, 11))}), at_ms(6'000));
+    }
+    std::vector<quarantine_record> writes;
+    take_lost_quarantines(state, at_ms(test.checked_at_ms), writes);
+    CHECK(writes.size() == test.writes);
+    CHECK(view_of(state)->quarantines.count(put.key) == 1);
+    writes.clear();
+    take_lost_quarantines(state, at_ms(60'000), writes);
+    CHECK(writes.size() == (test.writes == 0 && !test.is_in_copy && !test.is_written_by_other ? 1 : 0));
+}
+
 struct odd_entry_case {
     const char* name;
     std::string id;
