Serve by no older configuration than a peer's that the store has lost (CONFIG)

What callers would see: a withdrawn key or a removed route that works again, at a gateway that started while the store's copy still held it and the operators had not written again.

Cause: a process that starts believes the store, and a restored store may be older than what its peers have in force.

Change: reports carry the version of the configuration in force. A process that has read the store after a peer had a newer version, and still finds an older one, refuses requests as not run and is not ready until the store has it; so does one in its first 5 s, before such a read. Only the version number counts, so a peer cannot bring back a key. A process that has restarted is sent a report at once, as a new one is.

Conclusion: fixed for processes that reach a peer when they start.

--- a/include/lovage/core/peer_report.h
+++ b/include/lovage/core/peer_report.h
@@ -67,6 +67,8 @@
     bool is_leaving = false;
     /// Newest revision of the store with a change that the sender has read; 0 for none.
     std::uint64_t newest_change = 0;
+    /// Version of the configuration in force; 0 for none.
+    std::uint64_t config_version = 0;
     std::vector<peer_usage> usage;
     std::vector<peer_target_failure> target_failures;
     std::vector<peer_leaving_target> leaving_targets;
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -83,6 +83,8 @@
     /// processes; null function for none.
     std::function<void(quarantine_record)> on_quarantine;
     version_observer versions;
+    /// When the process started, on `boot_clock`.
+    boot_time started{0};
     /// When the stop signal arrived.
     std::optional<time_point> shutdown_requested_at;
     /// Running mean of the duration of a complete stream, with a conservative initial value.
@@ -174,6 +176,10 @@
 /// Whether the configuration is recent enough to accept API keys.
 bool can_trust_keys(const gateway_traffic& traffic);
 
+/// Whether the store holds an older configuration than the one that a peer has in force, because it came back
+/// from a copy. What the copy allows may have been withdrawn since, so nothing is served by it.
+bool is_configuration_behind(const gateway_traffic& traffic);
+
 /// Fails over other requests that are stalled at a lost target before their own timeouts expire. `is_certain`
 /// is false if the only sign of the loss is one stalled stream.
 void report_lost_target(gateway_traffic& traffic, const std::string& target_id, bool is_certain);
--- a/include/lovage/traffic/peer_exchange.h
+++ b/include/lovage/traffic/peer_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovage/core/boot_time.h"
 #include "lovage/core/peer_report.h"
 #include "lovage/core/time.h"
 #include "lovage/ports/peer_report_port.h"
@@ -29,6 +30,12 @@
     std::uint64_t last_applied_failure_number = 0;
 };
 
+/// The newest version of the configuration that a peer has in force, and when it was first heard of.
+struct heard_config {
+    std::uint64_t version = 0;
+    boot_time heard{0};
+};
+
 /// State of the report exchange between gateway processes, which share the load and the failures of their
 /// targets. Accessed only by the traffic thread.
 struct peer_exchange {
@@ -46,6 +53,7 @@
     bool is_report_scheduled = false;
     /// Peers by address.
     std::map<std::string, known_peer> peers;
+    heard_config newest_config;
     /// The peer that the next report goes to first, as a position in the order of addresses.
     std::size_t next_receiver = 0;
     /// The first of the targets in the next report, if one report cannot hold all.
--- a/src/adapters/gateway/peer_report_udp.cpp
+++ b/src/adapters/gateway/peer_report_udp.cpp
@@ -100,7 +100,7 @@
     json document{{"n", report.node},    {"b", report.started_ms},     {"s", report.sequence},
                   {"a", report.address}, {"u", to_list(report.usage)}, {"t", to_list(report.target_failures)},
                   {"p", report.peers},   {"l", report.is_leaving},     {"e", to_list(report.evidence)},
-                  {"v", report.vetoes},  {"r", report.newest_change}};
+                  {"v", report.vetoes},  {"r", report.newest_change},  {"k", report.config_version}};
     if (!report.crashes.empty()) {
         document["c"] = to_list(report.crashes);
         document["o"] = to_list(report.successes);
@@ -123,6 +123,7 @@
         report.is_leaving = document.at("l").get<bool>();
         // Processes of earlier versions do not send it.
         report.newest_change = document.value("r", std::uint64_t{0});
+        report.config_version = document.value("k", std::uint64_t{0});
         report.peers = document.at("p").get<std::vector<std::string>>();
         const auto& usage = document.at("u");
         const auto& target_failures = document.at("t");
--- a/src/programs/lovage-gateway/gateway_process.cpp
+++ b/src/programs/lovage-gateway/gateway_process.cpp
@@ -99,6 +99,7 @@
     m_traffic.timers = make_timer_port(m_io);
     m_traffic.sink = make_sink();
     m_traffic.boot_clock = boot_now;
+    m_traffic.started = boot_now();
     m_traffic.newest_view = [this] { return m_views.current(); };
     m_traffic.random.seed(std::random_device{}());
 }
@@ -150,6 +151,7 @@
     const auto max_staleness =
         std::chrono::duration_cast<boot_time>(m_settings.max_key_staleness * k_ready_staleness_fraction);
     return !m_traffic.shutdown_requested_at && view.table && view.targets &&
+           !is_configuration_behind(m_traffic) &&
            are_api_keys_trusted(view.table_confirmed, boot_now(), max_staleness);
 }
 
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -13,6 +13,8 @@
 // Number of targets of a zone that must fail within the window below before the whole zone is suspect.
 constexpr std::size_t k_failing_zone_targets = 3;
 constexpr milliseconds k_zone_failure_window{1'500};
+// For this long after its start a process serves by no older configuration than its peers.
+constexpr milliseconds k_start_period{5'000};
 
 const target_list& targets_of(const gateway_traffic& traffic, const std::string& service) {
     static const target_list k_none;
@@ -387,6 +389,17 @@
                                 traffic.options.max_key_staleness);
 }
 
+bool is_configuration_behind(const gateway_traffic& traffic) {
+    const auto& view = *traffic.view;
+    const auto& newest = traffic.peers.newest_config;
+    if (newest.version <= (view.table ? view.table->version : 0)) {
+        return false;
+    }
+    // A read that began after a peer had the newer version in force would have returned it from a store that
+    // has lost nothing. A process that has just started waits for such a read.
+    return view.table_confirmed > newest.heard || traffic.boot_clock() - traffic.started < k_start_period;
+}
+
 void report_lost_target(gateway_traffic& traffic, const std::string& target_id, bool is_certain) {
     // Bytes that arrived while the thread was held up are read before a timer expires, so that a request is
     // not judged by a silence that has ended.
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -102,6 +102,7 @@
     report.sequence = ++exchange.sequence;
     report.is_leaving = traffic.shutdown_requested_at.has_value();
     report.newest_change = traffic.view->newest_change;
+    report.config_version = traffic.view->table ? traffic.view->table->version : 0;
     report.usage = usage_items(traffic);
     const auto now = traffic.timers.now();
     const auto oldest = now - event_repeat_period(exchange.peers.size());
@@ -145,10 +146,20 @@
     }
 }
 
+// A version that only forgotten peers had in force no longer counts.
+void update_newest_config(peer_exchange& exchange) {
+    std::uint64_t newest = 0;
+    for (const auto& [address, peer] : exchange.peers) {
+        newest = std::max(newest, peer.report.config_version);
+    }
+    exchange.newest_config.version = std::min(exchange.newest_config.version, newest);
+}
+
 void send_report(gateway_traffic& traffic) {
     auto& exchange = traffic.peers;
     exchange.is_report_scheduled = false;
     forget_old_peers(exchange, traffic.timers.now());
+    update_newest_config(exchange);
     const auto report = make_report(traffic, k_max_peers);
     for (const auto& address : next_receivers(exchange)) {
         exchange.port.send(address, report);
@@ -251,7 +262,8 @@
         traffic.sink.count("gateway_peers_ignored", "earlier_start");
         return;
     }
-    if (report.started_ms != peer.report.started_ms || report.node != peer.report.node) {
+    const bool has_started = report.started_ms != peer.report.started_ms || report.node != peer.report.node;
+    if (has_started) {
         peer.last_applied_failure_number = 0;
     } else if (report.sequence <= peer.report.sequence) {
         return;
@@ -270,13 +282,17 @@
     if (report.newest_change > traffic.view->newest_change && exchange.on_newer_change) {
         exchange.on_newer_change(report.newest_change);
     }
+    if (report.config_version > exchange.newest_config.version) {
+        exchange.newest_config = {report.config_version, traffic.boot_clock()};
+    }
     peer.report = std::move(report);
     exchange.is_load_outdated = true;
     for (const auto& [service, admission] : traffic.admission) {
         schedule_dispatch(traffic, service);
     }
     add_addresses(exchange, peer.report.peers, now);
-    if (!was_live && exchange.port.send && peer.report.peers.size() < k_max_peers) {
+    // A process that has just started knows nothing of what its peers know, though they heard of it lately.
+    if ((!was_live || has_started) && exchange.port.send && peer.report.peers.size() < k_max_peers) {
         exchange.port.send(peer.report.address, make_report(traffic, k_max_welcome_peers));
     }
     apply_prompt_crashes(traffic, peer.report);
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -43,6 +43,10 @@
         refuse(error_kind::not_ready, "no configuration is known yet");
         return;
     }
+    if (is_configuration_behind(m_traffic)) {
+        refuse(error_kind::store_unavailable, "a peer has a newer configuration than the store");
+        return;
+    }
     const auto decision = decide_access(*m_table, m_request.host, m_request.forwarded->target, m_request.key);
     const bool is_public = decision.route != nullptr && decision.route->is_public;
     if (m_table->has_organisations && !is_public && !can_trust_keys(m_traffic)) {
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -129,6 +129,51 @@
     }
 }
 
+struct older_config_case {
+    const char* name;
+    std::uint64_t heard_version;
+    /// Times on the boot clock, in ms; the process started at 0.
+    std::int64_t heard_ms;
+    std::int64_t confirmed_ms;
+    std::int64_t now_ms;
+    bool is_served;
+};
+
+// Guards against a withdrawn key or route that a process serves again because the store came back from a copy
+// before it read it, and against refusals while a newer configuration is on its way.
+TEST_CASE("nothing is served by an older configuration than a peer's that the store has lost") {
+    const auto test = GENERATE(from_range(std::vector<older_config_case>{
+        {"the same version", 1, 9'000, 10'000, 10'100, true},
+        {"newer, not read since", 2, 10'000, 9'900, 10'100, true},
+        {"newer, and the store does not have it", 2, 10'000, 10'050, 10'100, false},
+        {"newer, just after the start", 2, 100, 50, 150, false},
+        {"the same, just after the start", 1, 100, 50, 150, true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 3);
+    gateway.traffic.started = boot_time(0);
+    gateway.boot = boot_time(std::chrono::milliseconds(test.heard_ms));
+    peer_report report;
+    report.node = "peer";
+    report.address = "10.0.9.1:7";
+    report.started_ms = 1;
+    report.sequence = 1;
+    report.config_version = test.heard_version;
+    apply_peer_report(gateway.traffic, report);
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    view->table_confirmed = boot_time(std::chrono::milliseconds(test.confirmed_ms));
+    ++view->sequence;
+    apply_view(gateway.traffic, view);
+    gateway.boot = boot_time(std::chrono::milliseconds(test.now_ms));
+    const auto request = gateway.request();
+    CHECK(gateway.attempts.size() == (test.is_served ? 1 : 0));
+    REQUIRE(gateway.caller.replies.size() == (test.is_served ? 0 : 1));
+    if (!test.is_served) {
+        CHECK(gateway.caller.replies[0].is_not_run);
+    }
+}
+
 // Guards against events that are lost, repeated or truncated when a stream is resumed at another target.
 TEST_CASE("a broken stream resumes from its standby copy at the holder, after the last whole event") {
     fake_gateway gateway;
