Test the gateway against a store that comes back from a copy (CONFIG)

What callers saw: after a restoration of the platform's store, routes that had been added are refused with 404, a withdrawn key is accepted again, and a rollout that was reported completed has no status (docs/incidents/restored-store.md).

Change: the tests' store sends Store-Era in every answer, can be restored from an earlier copy (items, revision and leases go back, the history restarts, a watch after a revision that it does not have gets 410), and can write again what the operator and the servers wrote. Seven process cases and the soak fault restore_store use it. The store now also grants leases: until now, the write of a quarantine failed here with 404 and no case noticed.

--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -1,6 +1,7 @@
 """Process tests of lovage-gateway against fakes of the platform. Usage: gateway_test.py BINARY [CASE...]"""
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -10,6 +11,7 @@
 from gateway import Gateway, call, get, read_head
 from world import ENDLESS, World
 
+ROLLOUT = {"Service": "app", "Target": "v2", "DurationS": 8}
 MAX_EVENT_GAP_S = 0.7  # longest gap between events that the streaming route allows
 
 
@@ -464,7 +466,8 @@
 async def move_version(f, is_bad, kills_gateway):
     """Starts a rollout of v2 under load. Returns the servers of v2 once it has completed or was rolled back."""
     added = await f.world.start_version("v2", 3, fail=is_bad)
-    f.world.store.put("op/rollout/app", {"Service": "app", "Target": "v2", "DurationS": 8})
+    if f.world.store.value_of("op/rollout/app") != ROLLOUT:
+        f.world.store.put("op/rollout/app", ROLLOUT)
     end = time.monotonic() + 8.0
     killed = False
     while time.monotonic() < end and f.world.statuses()[-1:] not in (["completed"], ["rolled_back"]):
@@ -507,6 +510,177 @@
     check(sum(len(s.runs) for s in added) == bad, "requests at the bad version after its rollback")
 
 
+async def restore_store(f, copy):
+    """The store goes away for a moment and comes back from the copy."""
+    f.world.store.mode = "silent"
+    for writer in list(f.world.store.writers):
+        writer.transport.abort()
+    await asyncio.sleep(0.5)
+    f.world.store.restore(copy)
+    f.world.store.mode = "up"
+    for writer in list(f.world.store.writers):
+        writer.transport.abort()
+
+
+async def restored_store_reaches_the_revision_of_a_paused_gateway(f):
+    """Guards against a gateway that takes revisions of two histories of the store for one, and misses a route for good."""
+    store = f.world.store
+    copy = store.copy()
+    f.world.configure()
+    for server in f.world.plain:
+        server.register()
+    await asyncio.sleep(0.5)
+    lost_revision = store.revision
+    f.gateways[1].signal(signal.SIGSTOP)
+    await restore_store(f, copy)
+    store.rewrite()
+    f.world.extra_routes = ["added"]
+    f.world.configure()
+    while store.revision < lost_revision:
+        f.world.plain[0].register()
+    f.gateways[1].signal(signal.SIGCONT)
+    await asyncio.sleep(2.0)
+    for gateway in f.gateways:
+        outcome = await call(gateway.port, "read", path="/added/x")
+        check(outcome.status == 200, f"{gateway.name}: {outcome.status} {outcome.detail}")
+
+
+async def draining_outlasts_a_restoration(f):
+    """Guards against new work for a draining server whose entry comes back as ready."""
+    draining, store = f.world.plain[0], f.world.store
+    copy = store.copy()
+    draining.register("draining")
+    await asyncio.sleep(1.0)
+    before = len(draining.runs)
+    await restore_store(f, copy)
+    for write_again in (lambda: None, store.rewrite):
+        write_again()
+        end = time.monotonic() + 1.5
+        while time.monotonic() < end:
+            for gateway in f.gateways:
+                for outcome in await asyncio.gather(*[call(gateway.port, "read") for _ in range(5)]):
+                    check_complete(outcome)
+    check(len(draining.runs) == before, "a draining server got new work")
+
+
+async def missing_entry_keeps_its_work(f):
+    """Guards against work that is lost, or run again, because the store's copy lacks the entry of the server that runs it."""
+    store = f.world.store
+    f.world.plain_timeout_ms = 8000
+    f.world.configure()
+    for server in (f.world.plain[0], f.world.engines[0]):
+        server.unregister()
+    copy = store.copy()
+    for server in (f.world.plain[0], f.world.engines[0]):
+        server.register()
+    await asyncio.sleep(0.5)
+    for server in f.world.plain:
+        server.work_s = 3.5
+    work = [asyncio.create_task(call(f.port, "publish")) for _ in range(9)]
+    await asyncio.sleep(0.3)
+    check(f.world.plain[0].runs, "the server got no work")
+    await restore_store(f, copy)
+    streams = [asyncio.create_task(call(f.port, "stream")) for _ in range(12)]
+    await asyncio.sleep(1.8)
+    store.rewrite()
+    outcomes = await asyncio.gather(*work, *streams)
+    for outcome in outcomes:
+        check_complete(outcome)
+        runs = sum(t.runs.get(outcome.request_id, 0) for t in f.world.targets)
+        check(runs == 1, f"{outcome.kind}: {runs} runs")
+    f.world.plain[0].work_s = 0.02
+    await read_until_reached(f, f.world.plain[0], f.port)
+
+
+async def withdrawn_key_outlasts_a_restoration(f):
+    """Guards against a withdrawn key that the store's copy still holds, also at a process that starts meanwhile."""
+    store = f.world.store
+    check_complete(await call(f.port, "read", "key-2"))
+    copy = store.copy()
+    f.world.keys = ["key-1"]
+    f.world.configure()
+    await asyncio.sleep(1.0)
+
+    async def check_withdrawn():
+        for gateway in f.gateways:
+            status = (await call(gateway.port, "read", "key-2")).status
+            check(status in (0, 401, 503), f"{gateway.name}: the withdrawn key got {status}")
+
+    await restore_store(f, copy)
+    end = time.monotonic() + 1.0
+    while time.monotonic() < end:
+        await check_withdrawn()
+        await asyncio.sleep(0.05)
+    await f.gateways[0].stop()
+    start = asyncio.create_task(f.gateways[0].start())
+    end = time.monotonic() + 1.5
+    while time.monotonic() < end:
+        await check_withdrawn()
+        await asyncio.sleep(0.05)
+    store.rewrite()
+    await start
+    await asyncio.sleep(1.0)
+    await check_withdrawn()
+    for gateway in f.gateways:
+        check_complete(await call(gateway.port, "read"))
+
+
+def make_lost_rollout_case(name, is_order_lost):
+    """Guards against a completed rollout that is run anew, or that is never reported, when the store has lost its record."""
+
+    async def case(f):
+        store = f.world.store
+        copy = store.copy()
+        if not is_order_lost:
+            f.world.store.put("op/rollout/app", ROLLOUT)
+            copy = store.copy()
+        old = list(f.world.plain)
+        added = await move_version(f, is_bad=False, kills_gateway=False)
+        check(f.world.statuses()[-1] == "completed", f"status {f.world.statuses()}")
+        await asyncio.sleep(0.5)
+        writes = len(store.writes)
+        before = [len(server.runs) for server in old]
+        await restore_store(f, copy)
+        store.rewrite()
+        end = time.monotonic() + 4.0
+        while time.monotonic() < end:
+            for outcome in await asyncio.gather(*[call(f.port, "read") for _ in range(6)]):
+                check_complete(outcome)
+        check([len(server.runs) for server in old] == before, "requests at the old servers")
+        check(any(server.runs for server in added), "no requests at the new servers")
+        status = (store.value_of("status/rollout/app") or {}).get("State")
+        again = [json.loads(v)["State"] for k, v in store.writes[writes:] if k == "status/rollout/app"]
+        check(status == "completed" and set(again) == {"completed"}, f"status {status}, written: {again}")
+
+    case.__name__ = name
+    case.settings = {"bad_share": 0.6}
+    return case
+
+
+async def quarantine_outlasts_a_restoration(f):
+    """Guards against quarantined prompt parts that the store has lost and that a process which starts later runs."""
+    store, prompt = f.world.store, "deadly:500,own:300"
+    copy = store.copy()
+    f.world.deadly_part = "deadly"
+
+    def is_stored():
+        return any(key.startswith("quarantine/") for key in store.items)
+
+    for _ in range(3):
+        await call(f.port, "stream", prompt=prompt)
+    await wait_until(is_stored, 2.0, "not quarantined")
+    await asyncio.sleep(0.5)
+    await restore_store(f, copy)
+    check(not is_stored(), "the copy has the quarantine")
+    await wait_until(is_stored, 4.0, "the quarantine was not written again")
+    for gateway in f.gateways:
+        await gateway.stop()
+    for gateway in f.gateways:
+        await gateway.start()
+        outcome = await call(gateway.port, "stream", prompt=prompt)
+        check(not any(outcome.request_id in e.runs for e in f.world.engines), "a quarantined prompt was run")
+
+
 CASES = [serves_each_kind, stream_lives_through_a_crash, stream_lives_through_silence, publish_runs_once,
          read_is_repeated_once, leaving_server_gets_no_new_work, half_of_the_engines_leave_under_load,
          paused_server_gets_no_requests, requests_in_flight_when_a_pause_begins, requests_wait_for_a_short_pause,
@@ -515,7 +689,11 @@
          lost_store_closes_keys, forgotten_history_is_read_again, planned_stop_cuts_nothing,
          planned_stop_waits_for_slow_callers, planned_stop_answers_what_it_cannot_finish,
          killed_process_serves_again, nothing_withdrawn_returns_after_a_restart, stopped_work_of_gone_callers,
-         good_version_is_moved_to, version_is_taken_back_if_it_may_be_too_many, bad_version_is_taken_back]
+         good_version_is_moved_to, version_is_taken_back_if_it_may_be_too_many, bad_version_is_taken_back,
+         restored_store_reaches_the_revision_of_a_paused_gateway, draining_outlasts_a_restoration,
+         missing_entry_keeps_its_work, withdrawn_key_outlasts_a_restoration, quarantine_outlasts_a_restoration]
+CASES += [make_lost_rollout_case("lost_record_of_a_rollout_is_written_again", is_order_lost=False),
+          make_lost_rollout_case("lost_order_and_record_of_a_rollout", is_order_lost=True)]
 CASES += [make_endless_case(mode) for mode in ENDLESS]
 
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -119,7 +119,7 @@
         while asyncio.get_running_loop().time() < deadline:
             fault = self.random.choice([self.crash_engine, self.freeze_engine, self.restart_plain, self.lose_answers,
                                         self.signal_gateway, self.pause_gateway, self.cut_store, self.slow_store,
-                                        self.break_store, self.change_config])
+                                        self.break_store, self.restore_store, self.change_config])
             await fault()
             await asyncio.sleep(self.random.uniform(0.05, 0.6))
 
@@ -192,18 +192,29 @@
         await asyncio.sleep(self.random.uniform(0.1, 2.0))
         if self.random.random() < 0.5:
             self.world.store.compact()
-        await self.restore_store()
+        await self.reach_store()
 
     async def change_config(self):
         self.world.configure()
 
     async def restore_store(self):
+        """The store goes away and is restored from a copy; what was lost is written again up to 2 s later."""
+        store, copy = self.world.store, self.world.store.copy()
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        store.mode = self.random.choice(["busy", "silent"])
+        await asyncio.sleep(self.random.uniform(0.1, 2.0))
+        store.restore(copy)
+        await self.reach_store()
+        await asyncio.sleep(self.random.uniform(0.0, 2.0))
+        store.rewrite()
+
+    async def reach_store(self):
         self.world.store.mode = "up"
         for writer in list(self.world.store.writers):
             writer.transport.abort()
 
     async def stop_faults(self):
-        await self.restore_store()
+        await self.reach_store()
         for link in self.links:
             link.stop_faults()
         for gateway in self.gateways:
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -1,7 +1,7 @@
 """Fakes of the users' platform on loopback: its store, model servers and plain servers.
 
-Tests inject faults through these objects: the store returns 503, hangs or compacts its history; servers crash, hang,
-close the connection without a response or return errors.
+Tests inject faults through these objects: the store returns 503, hangs, compacts its history or is restored from a
+copy; servers crash, hang, close the connection without a response or return errors.
 """
 
 import asyncio
@@ -14,6 +14,7 @@
 EVENTS = 40  # events per stream
 EVENT_S = 0.015  # interval between events
 PREFILL_S = 0.08  # prefill time of a prompt
+DEADLY_PREFILL_S = 0.6  # time after which an engine closes the connection of a prompt with the deadly part
 COPY_S = 0.05  # interval between updates of a standby copy
 HISTORY_EVENTS = 4096  # changes that the store keeps in its history
 
@@ -105,8 +106,12 @@
         await asyncio.sleep(0)
 
 
+def encode(value):
+    return base64.b64encode(value if isinstance(value, bytes) else json.dumps(value).encode()).decode()
+
+
 class Store(HttpServer):
-    """The platform's metadata store: compare-and-swap transactions, paged reads and watches."""
+    """The platform's metadata store: compare-and-swap transactions, paged reads, watches, and leases without an end."""
 
     def __init__(self):
         super().__init__()
@@ -116,18 +121,56 @@
         self.mode = "up"  # up, busy (returns 503), silent (never responds)
         self.calls = 0
         self.writes = []  # keys and values that the gateways wrote
+        self.era = 1  # one more after each restoration
+        self.leases = set()
+        self.last_put = {}  # what the operator and the servers wrote last; None for a removed key
 
     def put(self, key, value):
+        """Writes for the operator or a server."""
+        self.last_put[key] = value
+        self.set_item(key, value)
+
+    def remove(self, key):
+        """Removes a key for the operator or a server."""
+        self.last_put[key] = None
+        self.remove_item(key)
+
+    def set_item(self, key, value):
         self.revision += 1
-        text = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self.items[key] = {"Key": key, "Value": base64.b64encode(text).decode(), "Revision": self.revision}
+        self.items[key] = {"Key": key, "Value": encode(value), "Revision": self.revision}
         self.record_change(dict(self.items[key]))
 
-    def remove(self, key):
+    def remove_item(self, key):
         if self.items.pop(key, None):
             self.revision += 1
             self.record_change({"Key": key, "Revision": self.revision, "Deleted": True})
 
+    def value_of(self, key):
+        """Returns the decoded value of a key, or None."""
+        return json.loads(base64.b64decode(self.items[key]["Value"])) if key in self.items else None
+
+    def copy(self):
+        return dict(self.items), self.revision, set(self.leases)
+
+    def restore(self, copy):
+        """Goes back to an earlier copy. The revisions since then are given out again, to other changes."""
+        items, self.revision, leases = copy
+        self.items, self.leases = dict(items), set(leases)
+        self.era += 1
+        self.compact()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def rewrite(self, prefix=""):
+        """Writes again what the operator and the servers wrote and the copy of a restoration did not have."""
+        for key, value in list(self.last_put.items()):
+            if not key.startswith(prefix):
+                continue
+            if value is None:
+                self.remove_item(key)
+            elif key not in self.items or self.items[key]["Value"] != encode(value):
+                self.set_item(key, value)
+
     def record_change(self, event):
         self.history = (self.history + [event])[-HISTORY_EVENTS:]
         self.changed.set()
@@ -136,17 +179,20 @@
     def compact(self):
         self.history, self.compacted_revision = [], self.revision
 
+    def reply(self, status, body=b""):
+        return answer(status, body, [("Store-Era", str(self.era))])
+
     async def watch(self, request):
         prefix, after = request.query["Prefix"], int(request.query["After"])
         deadline = asyncio.get_running_loop().time() + int(request.query["WaitMs"]) / 1000
         while True:
-            if after < self.compacted_revision:
-                return answer(410)
+            if after < self.compacted_revision or after > self.revision:
+                return self.reply(410)
             found = [e for e in self.history if e["Revision"] > after and e["Key"].startswith(prefix)]
             time_left = deadline - asyncio.get_running_loop().time()
             if found or time_left <= 0:
                 body = {"events": found, "StoreRevision": self.revision}
-                return answer(200, json.dumps(body).encode())
+                return self.reply(200, json.dumps(body).encode())
             try:
                 await asyncio.wait_for(self.changed.wait(), time_left)
             except asyncio.TimeoutError:
@@ -155,31 +201,37 @@
     def transact(self, body):
         for row in body["ExpectedRev"]:
             if self.items.get(row["Key"], {"Revision": 0})["Revision"] != row["Revision"]:
-                return answer(412, json.dumps({"Items": []}).encode())
+                return self.reply(412, json.dumps({"Items": []}).encode())
+        if any(put.get("Lease", 0) not in self.leases | {0} for put in body["Puts"]):
+            return self.reply(404)
         for put in body["Puts"]:
             self.writes.append((put["Key"], base64.b64decode(put["Value"])))
-            self.put(put["Key"], self.writes[-1][1])
-        return answer(200, json.dumps({"Revision": self.revision}).encode())
+            self.set_item(put["Key"], self.writes[-1][1])
+        return self.reply(200, json.dumps({"Revision": self.revision}).encode())
 
     async def handle(self, request, writer):
         self.calls += 1
         if self.mode == "silent":
             await asyncio.sleep(3600)
         if self.mode == "busy":
-            out = answer(503)
+            out = self.reply(503)
         elif request.path == "/kv-watch":
             out = await self.watch(request)
             if self.mode != "up":
-                out = answer(503)
+                out = self.reply(503)
         elif request.path == "/kv-range":
             items = [v for k, v in sorted(self.items.items()) if k.startswith(request.query["Prefix"])]
             remaining = [i for i in items if i["Key"] > request.query.get("After", "")]
             body = {"Items": remaining[:3], "MorePages": len(remaining) > 3, "StoreRevision": self.revision}
-            out = answer(200, json.dumps(body).encode())
+            out = self.reply(200, json.dumps(body).encode())
         elif request.path == "/kv-txn":
             out = self.transact(json.loads(request.body))
+        elif request.path == "/kv-lease":
+            lease = max(self.leases, default=0) + 1
+            self.leases.add(lease)
+            out = self.reply(200, json.dumps({"Lease": lease, "TtlMs": json.loads(request.body)["TtlMs"]}).encode())
         else:
-            out = answer(404)
+            out = self.reply(404)
         writer.write(out)
         await writer.drain()
         return True
@@ -341,6 +393,9 @@
             writer.write(answer(503, headers=[("Not-Executed", "1")] + self.refusal_headers(request)))
             return True
         self.record_run(request)
+        if self.world.deadly_part and self.world.deadly_part in headers.get("prompt-prefix", ""):
+            await asyncio.sleep(DEADLY_PREFILL_S)
+            return False
         done = int(headers.get("last-event-id", "0"))
         self.active[request_id] = 0
         try:
@@ -378,8 +433,10 @@
         self.engines = [Engine(self, f"e{i}", "models", zones[i % 3]) for i in range(engines)]
         self.plain = [PlainServer(self, f"p{i}", "app", zones[i % 3]) for i in range(plain)]
         self.version = 0
+        self.extra_routes = []  # names of further routes to the plain servers
         self.plain_timeout_ms = 1500
         self.keys = ["key-1", "key-2"]
+        self.deadly_part = ""  # id of a prompt part at which engines fail
         self.keys_seen, self.tenants_seen = set(), set()
 
     @property
@@ -416,7 +473,8 @@
             "Version": self.version,
             "Routes": [route("stream", "streaming", "models", 5, 10000, 2000),
                        route("publish", "non_idempotent", "app", 1, self.plain_timeout_ms, 300),
-                       route("read", "idempotent", "app", 2, self.plain_timeout_ms, 300)],
+                       *[route(name, "idempotent", "app", 2, self.plain_timeout_ms, 300)
+                         for name in ["read"] + self.extra_routes]],
             "Services": [{"Name": "models", "MaxConns": 200, "Engine": {"Slots": 24, "KvCapacityTokens": 88000,
                                                                      "Backups": True}},
                          {"Name": "app", "MaxConns": 100}],
