Take nothing of a lost history of the store for something else

What callers saw: nothing yet; the stand-in platform could not be restored from a copy. With one that can, a lease of the lost history renews or carries another process's lease, a compare-and-swap with a lost revision replaces another change, and a watch from a lost revision does not end.

Cause: a restored store gives revisions and leases out again, and the adapter passed the bare numbers on.

Change: POST /copy and /restore of lovage-fake-platform, its header Store-Era, and 410 for a watch from a revision that it does not have. The adapter puts the era into the upper bits of revisions and leases (core/store_revision.h), refuses those of an earlier era with revision_conflict or not_found without a call, and reads a key anew if its watch began in a lost history. If the answer to a write is the first that tells the era, a key that was bound to a lost lease's number is removed again, and a write on a lost revision is reported as store_unavailable.

Conclusion: open is a write in the one call between the restoration and the first answer after it: it may replace a value whose number is the same, and is reported as of unknown outcome.

--- a/include/lovage/core/store_request.h
+++ b/include/lovage/core/store_request.h
@@ -43,6 +43,8 @@
     std::optional<error> failure;
     std::optional<store_value> value;
     std::uint64_t number = 0;
+    /// The store's era as of this or a later answer; 0 if unknown.
+    std::uint64_t era = 0;
 };
 
 } // namespace lovage
--- a/include/lovage/ports/store_port.h
+++ b/include/lovage/ports/store_port.h
@@ -88,6 +88,10 @@
     /// Long-polls for changes to keys with the prefix after the revision `after`, for at most `wait`.
     std::function<result<store_changes>(const std::string& prefix, std::uint64_t after, milliseconds wait)>
         watch_prefix;
+    /// The number of the store's restorations from a copy, as of its last answer; 0 if unknown. Revisions and
+    /// leases carry the era in which they were read or granted (core/store_revision.h); those of an earlier
+    /// era are refused with `revision_conflict` or `not_found`.
+    std::function<std::uint64_t()> era;
     /// Aborts calls in progress and makes later ones fail; used when the process shuts down.
     std::function<void()> stop;
 };
--- a/src/control/control_thread.cpp
+++ b/src/control/control_thread.cpp
@@ -87,6 +87,7 @@
     if (lane_of(request.purpose) != io_lane::fetch) {
         event.store = k_store_functions.at(static_cast<std::size_t>(request.store.operation))(ports.store,
                                                                                               request.store);
+        event.store.era = ports.store.era ? ports.store.era() : 0;
         return event;
     }
     auto copy = ports.fetch_config(request.http_address);
--- a/tests/process/store_http_test.cpp
+++ b/tests/process/store_http_test.cpp
@@ -2,6 +2,7 @@
 
 #include "lovage/adapters/http_client.h"
 #include "lovage/adapters/store_http.h"
+#include "lovage/core/store_revision.h"
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -216,6 +217,76 @@
     CHECK(platform.counts()["pending_watches"] == 0);
 }
 
+struct restored_case {
+    const char* name;
+    // Whether a call has shown the new era to the client before the one that is tested.
+    bool is_era_known;
+};
+
+// Guards against numbers of the lost history that are taken for those of another change or lease.
+TEST_CASE("a restored store accepts nothing of the history that it lost") {
+    const auto test = GENERATE(from_range(std::vector<restored_case>{{"known", true}, {"unknown", false}}));
+    CAPTURE(test.name);
+    platform_fixture platform;
+    auto& store = platform.store;
+    auto other = make_store_http({platform.address, milliseconds(500), milliseconds(1'000)});
+    const auto first = store.compare_and_swap("k", "1", 0, 0);
+    REQUIRE(first);
+    REQUIRE(platform.send("POST", "/copy").status == 200);
+    const auto lost = store.compare_and_swap("k", "2", *first, 0);
+    const auto lost_lease = store.grant_lease(milliseconds(60'000));
+    REQUIRE(lost);
+    REQUIRE(lost_lease);
+    REQUIRE(platform.send("POST", "/restore").status == 200);
+    // The numbers are given out again.
+    const auto present = other.get("k");
+    REQUIRE(present);
+    const auto lease = other.grant_lease(milliseconds(60'000));
+    const auto written = other.compare_and_swap("k", "3", (*present)->revision, 0);
+    REQUIRE(lease);
+    REQUIRE(written);
+    CHECK(number_of(*lease) == number_of(*lost_lease));
+    CHECK(number_of(*written) == number_of(*lost));
+    if (test.is_era_known) {
+        REQUIRE(store.get("k"));
+    }
+
+    SECTION("lease") {
+        CHECK(outcome_of(store.renew_lease(*lost_lease)) == "not_found");
+        CHECK(outcome_of(store.compare_and_swap("claim", "v", 0, *lost_lease)) == "not_found");
+        CHECK_FALSE(store.get("claim")->has_value());
+    }
+    SECTION("key with a lease") {
+        CHECK(outcome_of(store.compare_and_swap("claim", "v", 0, *lost_lease)) == "not_found");
+        CHECK_FALSE(store.get("claim")->has_value());
+    }
+    SECTION("revision") {
+        const auto outcome = outcome_of(store.compare_and_swap("k", "4", *lost, 0));
+        CHECK(outcome == (test.is_era_known ? "revision_conflict" : "store_unavailable"));
+    }
+    SECTION("watch") {
+        const auto watched = store.watch("k", *lost, milliseconds(300));
+        REQUIRE(watched);
+        REQUIRE(watched->has_value());
+        CHECK((*watched)->value == "3");
+        CHECK((*watched)->revision == *written);
+        CHECK(*written > *lost);
+    }
+    SECTION("watch from a later revision") {
+        const auto watched = store.watch("k", *lost + 100, milliseconds(300));
+        REQUIRE(watched);
+        REQUIRE(watched->has_value());
+        CHECK((*watched)->revision == *written);
+    }
+    SECTION("watch of a key that was removed") {
+        REQUIRE(other.remove("k", *written));
+        const auto watched = store.watch("k", *lost, milliseconds(300));
+        REQUIRE(watched);
+        REQUIRE(watched->has_value());
+        CHECK((*watched)->revision == 0);
+    }
+}
+
 // Guards against a platform that does not shut down while calls are pending.
 TEST_CASE("the platform stops while a watch is pending") {
     platform_fixture platform;
--- a/tools/standins/lovage-fake-platform/kv_state.cpp
+++ b/tools/standins/lovage-fake-platform/kv_state.cpp
@@ -87,6 +87,15 @@
     return has_expired;
 }
 
+void restore(kv_state& state, const kv_state& copy, time_point copied_at, time_point now) {
+    const auto era = state.era + 1;
+    state = copy;
+    state.era = era;
+    for (auto& [id, lease] : state.leases) {
+        lease.expiry += now - copied_at;
+    }
+}
+
 std::optional<time_point> next_lease_expiry(const kv_state& state) {
     std::optional<time_point> next;
     for (const auto& [id, lease] : state.leases) {
--- a/tools/standins/lovage-fake-platform/kv_state.h
+++ b/tools/standins/lovage-fake-platform/kv_state.h
@@ -34,6 +34,8 @@
     std::map<lease_id, kv_lease> leases;
     std::uint64_t last_revision = 0;
     lease_id last_lease = 0;
+    /// Number of restorations from a copy.
+    std::uint64_t era = 0;
 };
 
 /// Returns the revision of a key; 0 if it is absent.
@@ -59,6 +61,9 @@
 /// Expires all leases whose time to live ended by `now` and removes their keys. Returns whether there were
 /// any.
 bool expire_leases(kv_state& state, time_point now);
+/// Goes back to `copy`, which was taken at `copied_at`: leases have as long to live as they had then, and
+/// later revisions and leases are given out again. The era rises by one.
+void restore(kv_state& state, const kv_state& copy, time_point copied_at, time_point now);
 /// Returns when the next lease expires; nothing if there are no leases.
 std::optional<time_point> next_lease_expiry(const kv_state& state);
 
--- a/tools/standins/lovage-fake-platform/platform.cpp
+++ b/tools/standins/lovage-fake-platform/platform.cpp
@@ -123,7 +123,9 @@
     watch_reply reply;
     wait_until(lock, monotonic_now() + wait, [&] {
         const auto found = m_state.entries.find(key);
-        if (found == m_state.entries.end()) {
+        if (after > m_state.last_revision) {
+            reply.end = watch_end::history_lost;
+        } else if (found == m_state.entries.end()) {
             reply.end = after > 0 ? watch_end::removed : watch_end::waited;
         } else if (found->second.revision > after) {
             reply = {watch_end::changed, {found->second.value, found->second.revision}};
@@ -134,6 +136,28 @@
     return reply;
 }
 
+void platform::take_copy() {
+    const std::lock_guard lock(m_mutex);
+    expire_leases_locked();
+    m_copy = m_state;
+    m_copied_at = monotonic_now();
+}
+
+bool platform::restore_copy() {
+    const std::lock_guard lock(m_mutex);
+    if (!m_copy) {
+        return false;
+    }
+    restore(m_state, *m_copy, m_copied_at, monotonic_now());
+    m_state_changed.notify_all();
+    return true;
+}
+
+std::uint64_t platform::era() const {
+    const std::lock_guard lock(m_mutex);
+    return m_state.era;
+}
+
 std::string platform::vms() {
     const std::lock_guard lock(m_mutex);
     while (!m_pending_vms.empty() && m_pending_vms.front().first <= monotonic_now()) {
--- a/tools/standins/lovage-fake-platform/platform.h
+++ b/tools/standins/lovage-fake-platform/platform.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -51,10 +52,12 @@
     std::uint64_t pending_watches = 0;
 };
 
-/// How a watch ended: the key changed, the key is absent, or nothing happened within the wait.
-enum class watch_end : std::uint8_t { changed, removed, waited };
-inline constexpr std::size_t k_watch_end_count = 3;
-inline constexpr enum_names<k_watch_end_count> k_watch_end_names{"changed", "removed", "waited"};
+/// How a watch ended: the key changed, the key is absent, nothing happened within the wait, or the store does
+/// not have the revision from which to watch.
+enum class watch_end : std::uint8_t { changed, removed, waited, history_lost };
+inline constexpr std::size_t k_watch_end_count = 4;
+inline constexpr enum_names<k_watch_end_count> k_watch_end_names{"changed", "removed", "waited",
+                                                                 "history_lost"};
 
 struct watch_reply {
     watch_end end = watch_end::waited;
@@ -84,10 +87,16 @@
     lease_id grant(milliseconds ttl);
     result<void> renew(lease_id lease);
     result<void> revoke(lease_id lease);
-    /// Blocks until the revision of the key is above `after`, the key is absent while `after` is above 0, or
-    /// `wait` has passed.
+    /// Blocks until the revision of the key is above `after`, the key is absent while `after` is above 0,
+    /// `after` is above the store's last revision, or `wait` has passed.
     watch_reply watch(const std::string& key, std::uint64_t after, milliseconds wait);
 
+    /// Takes a copy of the store, which replaces the one before.
+    void take_copy();
+    /// Restores the store from the last copy; returns whether there is one.
+    bool restore_copy();
+    std::uint64_t era() const;
+
     /// Returns the VM list as JSON text, as it was `vms_lag` ago.
     std::string vms();
     void set_vms(std::string json);
@@ -111,6 +120,8 @@
     std::condition_variable m_state_changed;
     bool m_stopping = false;
     kv_state m_state;
+    std::optional<kv_state> m_copy;
+    time_point m_copied_at{};
     fault_settings m_faults;
     token_bucket m_read_limit;
     token_bucket m_write_limit;
--- a/tools/standins/lovage-fake-platform/routes.cpp
+++ b/tools/standins/lovage-fake-platform/routes.cpp
@@ -165,6 +165,8 @@
         return reply_value(watched.value);
     case watch_end::removed:
         return reply_error(404, "no such key");
+    case watch_end::history_lost:
+        return reply_error(410, "the store does not have this revision");
     case watch_end::waited:
         break;
     }
@@ -259,6 +261,15 @@
                        {"write_rate", faults.write_rate}});
 }
 
+http_response handle_copy(platform& platform, const http_request& /*request*/) {
+    platform.take_copy();
+    return reply(200, json::object());
+}
+
+http_response handle_restore(platform& platform, const http_request& /*request*/) {
+    return platform.restore_copy() ? reply(200, {{"era", platform.era()}}) : reply_error(404, "no copy");
+}
+
 template <std::size_t Count>
 json counts_by_name(const enum_names<Count>& names, const std::array<std::uint64_t, Count>& values) {
     json object = json::object();
@@ -311,14 +322,16 @@
     operation handler;
 };
 
-constexpr std::array<test_route, 4> k_test_routes{{
+constexpr std::array<test_route, 6> k_test_routes{{
     {"POST", "/vms", handle_set_vms},
     {"POST", "/faults", handle_faults},
+    {"POST", "/copy", handle_copy},
+    {"POST", "/restore", handle_restore},
     {"GET", "/counts", handle_counts},
     {"GET", "/healthz", handle_health},
 }};
 
-http_response answer(platform& platform, const counted_route& route, const http_request& request) {
+http_response admit_and_handle(platform& platform, const counted_route& route, const http_request& request) {
     switch (platform.admit(route.kind)) {
     case refusal::down:
         return reply_error(503, "the platform is down");
@@ -330,6 +343,15 @@
     return route.handler(platform, request);
 }
 
+http_response answer(platform& platform, const counted_route& route, const http_request& request) {
+    const auto era = platform.era();
+    auto response = admit_and_handle(platform, route, request);
+    response.headers["Store-Era"] = std::to_string(era);
+    // A call that was in progress during a restoration gets no answer, since it may have seen either state.
+    response.close_without_response = response.close_without_response || platform.era() != era;
+    return response;
+}
+
 } // namespace
 
 std::vector<http_route> make_routes(platform& platform) {
