Elect no second leader in a restored store before the first has stepped down

What callers saw: two leaders that plan moves and order loads for up to 4.5 s, if the leader does not reach the store.

Cause: the restored store lacks the leader's key and lease, and a candidate claims an absent key at once, while the leader keeps its term by its own clock.

Change: nobody claims within the lease's time after it has first seen an era, also at the start of a process. Terms are revisions with the era, so none is given out twice.

--- a/include/lovage/core/leadership.h
+++ b/include/lovage/core/leadership.h
@@ -56,6 +56,10 @@
     fencing_number term = 0;
     /// The value of the leader key that this process wrote or tried to write.
     std::string claim;
+    /// The store's era (core/store_revision.h) and when this process may claim in it. A restored store may
+    /// have lost a leader's lease, so nobody claims before the leader has stepped down by its own clock.
+    std::uint64_t era = 0;
+    time_point claims_from{};
     /// The leader as last read from the store.
     leader_claim known_leader;
 };
--- a/src/core/leadership.cpp
+++ b/src/core/leadership.cpp
@@ -45,10 +45,20 @@
         state.known_leader = {reply.value->revision, node_of_claim(reply.value->value)};
         return;
     }
+    if (now < state.claims_from) {
+        return;
+    }
     state.phase = leadership_phase::granting;
     state.next_step = now;
 }
 
+void observe_era(leadership_state& state, std::uint64_t era, time_point now) {
+    if (era > state.era) {
+        state.era = era;
+        state.claims_from = now + state.options.lease_ttl;
+    }
+}
+
 void reply_to_grant(leadership_state& state, const store_reply& reply, time_point now) {
     if (reply.failure) {
         state.phase = leadership_phase::follower;
@@ -182,6 +192,7 @@
         return;
     }
     state.has_pending_call = false;
+    observe_era(state, reply.era, now);
     if (state.phase == leadership_phase::leading && now >= state.expires) {
         become_follower(state, now);
         state.next_step = now;
--- a/tests/unit/control_exchange.h
+++ b/tests/unit/control_exchange.h
@@ -2,6 +2,7 @@
 
 #include "lovage/adapters/gossip_codec.h"
 #include "lovage/control/control_state.h"
+#include "lovage/core/store_revision.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
@@ -24,6 +25,7 @@
     std::map<lease_id, std::pair<time_point, milliseconds>> leases;
     std::uint64_t revision = 0;
     lease_id next_lease = 1;
+    std::uint64_t era = 0;
     bool is_down = false;
     /// Whether compare-and-swaps take effect but report `store_unavailable`, as if the reply were lost.
     bool loses_answers = false;
@@ -49,11 +51,33 @@
         return revision;
     }
 
+    /// Goes back to `copy`, as the adapter shows it: what the store still has carries the new era, and lost
+    /// leases and revisions never match it.
+    void restore(const fake_store& copy, time_point copied_at, time_point now) {
+        const auto in_era = [this](std::uint64_t number) {
+            return number == 0 ? 0 : make_revision(era, number_of(number));
+        };
+        ++era;
+        items = copy.items;
+        for (auto& [key, entry] : items) {
+            entry.value.revision = in_era(entry.value.revision);
+            entry.lease = in_era(entry.lease);
+        }
+        leases.clear();
+        for (const auto& [id, lease] : copy.leases) {
+            leases[in_era(id)] = {lease.first + (now - copied_at), lease.second};
+        }
+        revision = make_revision(era, number_of(copy.revision));
+        next_lease = make_revision(era, number_of(copy.next_lease));
+    }
+
     /// Executes a store call.
     store_reply run(const store_request& request, time_point now) {
         expire(now);
         store_reply reply;
+        reply.era = era;
         if (is_down) {
+            reply.era = 0;
             reply.failure = error{error_kind::store_unavailable, "down"};
             return reply;
         }
@@ -69,6 +93,8 @@
         case store_operation::watch:
             if (present > request.revision) {
                 reply.value = found->second.value;
+            } else if (present == 0 && request.revision > 0) {
+                reply.value = store_value{};
             }
             break;
         case store_operation::compare_and_swap:
--- a/tests/unit/control_state_test.cpp
+++ b/tests/unit/control_state_test.cpp
@@ -195,6 +195,57 @@
     }
 }
 
+struct restored_leader_case {
+    const char* name;
+    // Age of the copy from which the store is restored.
+    milliseconds age;
+    bool is_leader_cut_off;
+};
+
+// Guards against two leaders, and against a term that is used twice, when a restored store has lost the
+// leader's lease.
+TEST_CASE("a restored store does not make a second leader or a second term") {
+    const auto test = GENERATE(from_range(std::vector<restored_leader_case>{
+        {"no claim in the copy", milliseconds{20'000}, false},
+        {"no claim in the copy, leader cut off", milliseconds{20'000}, true},
+        {"claim in the copy", milliseconds{2'000}, false},
+        {"claim in the copy, leader cut off", milliseconds{2'000}, true},
+    }));
+    const auto seed = GENERATE(range(1U, 6U));
+    CAPTURE(test.name, seed);
+    control_exchange exchange(seed);
+    exchange.store.put("config/current", "first");
+    auto copy = exchange.store;
+    auto copied_at = exchange.now;
+    for (const auto& at : k_locations) {
+        add_node(exchange, at);
+    }
+    exchange.run_for(milliseconds{20'000} - test.age);
+    if (test.age < milliseconds{20'000}) {
+        copy = exchange.store;
+        copied_at = exchange.now;
+    }
+    exchange.run_for(test.age);
+    REQUIRE(exchange.leaders().size() == 1);
+    const node_id first = exchange.leaders().front();
+    std::map<fencing_number, node_id> terms;
+    terms[exchange.nodes.at(first).state.leadership.term] = first;
+    exchange.store.restore(copy, copied_at, exchange.now);
+    exchange.store_link = [&](const auto& node) { return !test.is_leader_cut_off || node != first; };
+    for (int i = 0; i < 400; ++i) {
+        exchange.run_for(milliseconds{50});
+        const auto leaders = exchange.leaders();
+        CHECK(leaders.size() <= 1);
+        for (const auto& leader : leaders) {
+            const auto term = exchange.nodes.at(leader).state.leadership.term;
+            CHECK(terms.rbegin()->first <= term);
+            CHECK(terms.emplace(term, leader).first->second == leader);
+        }
+    }
+    CHECK(exchange.leaders().size() == 1);
+    CHECK(terms.size() > 1);
+}
+
 // Guards against a leader key whose write succeeded without a reply and that then blocks every election.
 TEST_CASE("a leader whose claim was not answered reads it back") {
     control_exchange exchange(8);
