Write a move's record again if a restored store has lost it

What callers saw: a move that had landed begins anew, with all traffic on the old version, or is taken back at its deadline; one in progress falls back to an earlier share.

Cause: a new leader takes the store's record, or its absence, for the newest.

Change: leaders tell of a record only after the store has it, so a store with an older record than membership messages carry was restored. The new leader goes on from the known record and first writes it again.

Conclusion: a record is lost only if all entries that knew it have ended as well.

--- a/include/lovage/control/control_state.h
+++ b/include/lovage/control/control_state.h
@@ -73,6 +73,8 @@
     bool is_read = false;
     std::optional<move_record> record;
     std::uint64_t revision = 0;
+    /// Whether `record` is missing in the store, which was restored from a copy, and must be written again.
+    bool is_lost = false;
     /// Whether a store call for this move is in progress.
     bool has_pending_call = false;
     /// Earliest time of the next store call, after a failed one.
--- a/src/control/move_control.cpp
+++ b/src/control/move_control.cpp
@@ -1,6 +1,7 @@
 #include "lovage/control/move_control.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace lovage {
 
@@ -176,6 +177,7 @@
     const bool is_new_step =
         !run.record || run.record->phase != record.phase || run.record->share != record.share;
     run.is_read = true;
+    run.is_lost = false;
     run.revision = revision;
     run.record = record;
     if (is_new_step) {
@@ -202,6 +204,10 @@
         read_move(run, output);
         return;
     }
+    if (run.is_lost) {
+        write_move(state, run, *run.record, output);
+        return;
+    }
     rollout_input input;
     input.move = &run.move;
     input.record = run.record;
@@ -221,6 +227,21 @@
     }
 }
 
+// Leaders tell of a record only after the store has it. If the store's record is older than the one that this
+// process knows, it was restored from a copy.
+void recover_record(control_state& state, move_run& run, control_output& output) {
+    const auto known = known_record(state, run.move.id);
+    const auto order = [](const move_record& record) { return std::tie(record.fencing, record.sequence); };
+    if (!known || (run.record && order(*known) <= order(*run.record))) {
+        return;
+    }
+    run.record = known;
+    run.is_lost = true;
+    output.logs.push_back({"move_lost_by_store", known->id + " " +
+                                                     std::string(name_of(k_move_phase_names, known->phase)) +
+                                                     " " + std::to_string(known->share)});
+}
+
 void start_term(control_state& state, time_point now) {
     if (state.planned_term == state.leadership.term) {
         return;
@@ -304,9 +325,11 @@
         return;
     }
     run->is_read = true;
+    run->is_lost = false;
     run->revision = event.store.value ? event.store.value->revision : 0;
     run->record.reset();
     if (!event.store.value) {
+        recover_record(state, *run, output);
         return;
     }
     const auto record = state.codecs.decode_move(event.store.value->value);
@@ -316,6 +339,7 @@
     } else if (record->id == run->move.id) {
         adopt_record(state, *run, *record, event.store.value->revision, output);
     }
+    recover_record(state, *run, output);
 }
 
 void apply_move_write_reply(control_state& state, const io_event& event, time_point now,
--- a/tests/unit/move_control_test.cpp
+++ b/tests/unit/move_control_test.cpp
@@ -310,6 +310,49 @@
     CHECK(fleet.all_show(move_phase::landed));
 }
 
+struct restored_move_case {
+    const char* name;
+    double failure;
+    // When the copy is made, and when the store is restored from it, in seconds after the start of the move.
+    int copied_at;
+    int restored_at;
+    move_phase expected;
+};
+
+// Guards against a move that is over and begins anew, or is taken back at its deadline, because a restored
+// store has lost its record, and against one that does not go on.
+TEST_CASE("a move survives a restoration of the store") {
+    const auto test = GENERATE(from_range(std::vector<restored_move_case>{
+        {"landed, no record in the copy", 0.0, 0, 112, move_phase::landed},
+        {"landed, canary in the copy", 0.0, 30, 112, move_phase::landed},
+        {"in progress, no record in the copy", 0.0, 0, 60, move_phase::landed},
+        {"in progress, older record in the copy", 0.0, 30, 60, move_phase::landed},
+        {"reverted, no record in the copy", 1.0, 0, 60, move_phase::reverted},
+    }));
+    const auto seed = GENERATE(range(1U, 4U));
+    CAPTURE(test.name, seed);
+    fleet_simulation fleet(seed);
+    fleet.start(milliseconds{120'000});
+    fleet.failure = test.failure;
+    fleet.failing_from = fleet.exchange.now;
+    fleet.run(std::chrono::seconds{test.copied_at});
+    const auto copy = fleet.exchange.store;
+    const auto copied_at = fleet.exchange.now;
+    fleet.run(std::chrono::seconds{test.restored_at - test.copied_at});
+    const double share = fleet.largest_share();
+    const bool is_over = test.expected == move_phase::reverted || test.restored_at > 100;
+    REQUIRE((!is_over || fleet.all_show(test.expected)));
+    fleet.exchange.store.restore(copy, copied_at, fleet.exchange.now);
+    for (int at = test.restored_at; at < 140; ++at) {
+        fleet.run(milliseconds{1'000});
+        CHECK((!is_over || fleet.all_show(test.expected)));
+        CHECK((test.expected == move_phase::reverted || fleet.largest_share() >= share));
+    }
+    CHECK(fleet.all_show(test.expected));
+    REQUIRE(fleet.stored());
+    CHECK(fleet.stored()->phase == test.expected);
+}
+
 // Guards against lost capacity that is not restored after a target lost its loaded version.
 TEST_CASE("the leader orders a load for a lost replica") {
     fleet_simulation fleet(9);
