Claim no call whose claim a restored store may have lost (at most once)

What callers saw: a non-idempotent call that is repeated with its key after a restoration runs again, at another agent.

Cause: an absent claim counted as proof that the call had not been bound.

Change: entries remember the claims that they wrote or read for 600 s (at most 20,000), look for a new era every 5 s and write lost claims again. A call that an entry knows is bound to the agent as before. One that it does not know gets no claim for 15 s after the entry saw the restoration, and for 600 s if an entry failed in the 600 s before it or since, since nobody writes that one's claims again; "not run" is not stated. Ids that were generated for the call are exempt. The key claims-era/<era> tells processes that start later how old the era is.

Conclusion: keyed non-idempotent calls that are new are refused for 15 s after a restoration. Open: a retry later than 600 s after it, of a call whose entry has ended.

--- a/include/lovage/core/claim.h
+++ b/include/lovage/core/claim.h
@@ -4,7 +4,9 @@
 #include "lovage/core/error_kind.h"
 #include "lovage/core/ids.h"
 #include "lovage/core/result.h"
+#include "lovage/core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -50,6 +52,25 @@
 /// Number of store errors for one claim after which the request is refused.
 inline constexpr std::uint32_t k_max_claim_store_errors = 3;
 
+/// How long processes that write claims remember them, to write them again if a restored store has lost them,
+/// and how many. A copy of the store is seconds old.
+inline constexpr milliseconds k_claim_memory{600'000};
+inline constexpr std::size_t k_max_remembered_claims = 20'000;
+/// Time after which the processes that live have seen the store's new era and written their claims again.
+inline constexpr milliseconds k_claim_restore_time{15'000};
+
+/// What decides whether a call that has no claim in the store may get one.
+struct claim_conditions {
+    /// When this process saw that the store was restored from a copy, which may lack claims.
+    std::optional<time_point> restored_at;
+    /// When an entry last failed without announcing a shutdown; nobody writes its claims again.
+    std::optional<time_point> entry_failed_at;
+};
+
+/// Returns whether it is certain that no claim of an earlier call with the same id was lost. If not, the call
+/// may have run.
+bool may_create_claim(const claim_conditions& conditions, time_point now);
+
 /// Returns the step after `create`. `revision_conflict` means that a claim exists. After any other error it
 /// is unknown whether the write took effect, so the claim is read back.
 claim_action after_claim_create(claim_progress& progress, const result<void>& outcome);
--- a/include/lovage/traffic/service_caller.h
+++ b/include/lovage/traffic/service_caller.h
@@ -30,8 +30,8 @@
     std::function<std::optional<call_target>(const std::string& service, const std::set<node_id>& excluded)>
         choose;
     std::function<bool(const node_id& agent, const call_message&)> send;
-    /// Errors as in `plain_call_ports`.
-    std::function<result<void>(const request_id&, const claim_record&)> create_claim;
+    /// Errors as in `plain_call_ports`. `is_fresh_id`: no earlier call can have the id.
+    std::function<result<void>(const request_id&, const claim_record&, bool is_fresh_id)> create_claim;
     std::function<result<std::optional<claim_record>>(const request_id&)> read_claim;
     /// Called when an accepted call has ended. `honoured` is true if the service answered without a server
     /// error.
--- a/src/core/claim.cpp
+++ b/src/core/claim.cpp
@@ -11,6 +11,15 @@
 
 } // namespace
 
+bool may_create_claim(const claim_conditions& conditions, time_point now) {
+    if (!conditions.restored_at || now - *conditions.restored_at >= k_claim_memory) {
+        return true;
+    }
+    const bool is_author_lost =
+        conditions.entry_failed_at && *conditions.entry_failed_at > *conditions.restored_at - k_claim_memory;
+    return !is_author_lost && now - *conditions.restored_at >= k_claim_restore_time;
+}
+
 claim_action after_claim_create(claim_progress& progress, const result<void>& outcome) {
     progress.write_sent = true;
     if (outcome) {
--- a/src/programs/lovage-entry/entry_routes.cpp
+++ b/src/programs/lovage-entry/entry_routes.cpp
@@ -35,8 +35,9 @@
     };
     ports.send = [peers](const node_id& agent, const call_message& call) { return peers.send(agent, call); };
     // An entry without a store cannot create claims, so it refuses non-idempotent calls.
-    ports.create_claim = [claims](const request_id& request, const claim_record& record) -> result<void> {
-        return claims ? claims->create(request, record)
+    ports.create_claim = [claims](const request_id& request, const claim_record& record,
+                                  bool is_fresh_id) -> result<void> {
+        return claims ? claims->create(request, record, is_fresh_id)
                       : fail(error_kind::store_unavailable, "this entry has no store");
     };
     ports.read_claim = [claims](const request_id& request) -> result<std::optional<claim_record>> {
--- a/src/programs/lovage-entry/main.cpp
+++ b/src/programs/lovage-entry/main.cpp
@@ -10,6 +10,7 @@
 #include "lovage/adapters/peer_endpoint.h"
 #include "lovage/adapters/poller.h"
 #include "lovage/adapters/program.h"
+#include "lovage/control/home_change.h"
 #include "lovage/traffic/entry_service.h"
 #include "lovage/traffic/service_caller.h"
 
@@ -76,6 +77,10 @@
     return events;
 }
 
+claim_store_ports claim_ports(const node_control& control, const std::shared_ptr<view_publisher>& views) {
+    return {control.store(), monotonic_now, wall_now, [views] { return entry_failed_at(*views->current()); }};
+}
+
 // Sends this entry's evidence about versions to its own control thread and to the leader.
 void report_evidence(const entry_settings& settings, const entry_service& service, const peer_port& peers,
                      const view_publisher& views, node_control& control) {
@@ -141,7 +146,7 @@
     const auto service =
         entry_service::create(settings.options, (*endpoint)->port(), views,
                               [&counters](const std::string& name, double by) { counters.count(name, by); });
-    const auto claims = control ? std::make_shared<claim_store>(control->store(), monotonic_now) : nullptr;
+    const auto claims = control ? std::make_shared<claim_store>(claim_ports(*control, views)) : nullptr;
     service_caller caller(caller_ports(*service, (*endpoint)->port(), views, counters, claims));
     const auto events = caller.wrap_peer_events(service->events());
     (*endpoint)->start(control ? forward_to_control(events, *control) : events);
@@ -161,7 +166,9 @@
     log_event(log_level::info, "listening",
               {{"http", settings.http_address}, {"peer", settings.peer_address}});
     std::unique_ptr<poller> reporter;
+    std::unique_ptr<poller> era_checker;
     if (control) {
+        era_checker = std::make_unique<poller>(k_era_check_interval, [claims] { claims->check_era(); });
         reporter = std::make_unique<poller>(k_evidence_report_interval, [&, peers = (*endpoint)->port()] {
             report_evidence(settings, *service, peers, *views, *control);
         });
@@ -172,6 +179,7 @@
     }
     drain(settings, *service, **server);
     reporter.reset();
+    era_checker.reset();
     // Agents offer the remaining answers to the entries that own them now.
     (*endpoint)->stop();
     service->stop();
--- a/src/traffic/service_caller.cpp
+++ b/src/traffic/service_caller.cpp
@@ -86,7 +86,9 @@
     plain_call_ports ports;
     ports.choose = m_ports.choose;
     ports.send = m_ports.send;
-    ports.create_claim = m_ports.create_claim;
+    ports.create_claim = [this, is_fresh](const request_id& request, const claim_record& record) {
+        return m_ports.create_claim(request, record, is_fresh);
+    };
     ports.read_claim = m_ports.read_claim;
     ports.try_spend_retry = [this] { return try_spend(); };
     ports.random = [this] { return random(); };
