Keep the active configuration when the store comes back from a copy (CONFIG)

What callers saw: an accepted configuration is taken back everywhere, and a process that starts takes the old one.

Cause: the copy's configuration has a revision of the new era and so counted as newest. Without the era, a new configuration with a lower number than the lost one would not have been adopted.

Change: a configuration document states the era in which it was written; its revision is the one of that history, so what the copy still has is older than what is active, and what operators write since is newer. The leader writes a lost configuration again after 3 s, in the new era, unless somebody has written another. A process that starts and finds a document of an earlier era asks its peers as well. A watch of an absent key pauses before the next one, which it did not if the store said that the key was removed. An apply whose first answer shows another era is stated again with it.

--- a/include/lovage/adapters/config_document.h
+++ b/include/lovage/adapters/config_document.h
@@ -5,6 +5,7 @@
 #include "lovage/core/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace lovage {
@@ -27,6 +28,9 @@
     config_revision previous = 0;
     /// When the operator applied it, on the clock of the operator's machine.
     wall_time applied{};
+    /// The store's era (core/store_revision.h) in which the document was written. A restored store shows the
+    /// documents that it still has with its new era.
+    std::uint64_t era = 0;
 };
 
 /// Encodes a document as JSON. Fails with `invalid_request` if a required field is empty or a field is too
@@ -34,8 +38,8 @@
 /// `k_max_config_document_bytes`.
 result<std::string> encode_config_document(const config_document& document);
 
-/// Decodes a document. Unknown fields are ignored; `previous` and `applied_ms` may be absent. Fails
-/// with `protocol_error`.
+/// Decodes a document. Unknown fields are ignored; `previous`, `applied_ms` and `era`, by default that of
+/// `previous`, may be absent. Fails with `protocol_error`.
 result<config_document> decode_config_document(const std::string& json);
 
 } // namespace lovage
--- a/include/lovage/control/control_event.h
+++ b/include/lovage/control/control_event.h
@@ -26,7 +26,8 @@
 /// `config_start`: read the configuration from the store at start. `config_watch`: wait for a newer one in
 /// the store. `start_peer`: fetch it from a peer at start, while the store does not answer. `config_pull`:
 /// fetch a newer revision from a peer that announced it. `leadership`: acquire, renew or release the leader's
-/// lease. `move_read`, `move_write`: read or write the record of a move.
+/// lease. `move_read`, `move_write`: read or write the record of a move. `config_restore`: write the active
+/// configuration again, which a restored store has lost.
 enum class io_purpose : std::uint8_t {
     config_start,
     config_watch,
@@ -34,11 +35,13 @@
     config_pull,
     leadership,
     move_read,
-    move_write
+    move_write,
+    config_restore
 };
-inline constexpr std::size_t k_io_purpose_count = 7;
+inline constexpr std::size_t k_io_purpose_count = 8;
 inline constexpr enum_names<k_io_purpose_count> k_io_purpose_names{
-    "config_start", "config_watch", "start_peer", "config_pull", "leadership", "move_read", "move_write"};
+    "config_start", "config_watch", "start_peer", "config_pull",
+    "leadership",   "move_read",    "move_write", "config_restore"};
 
 /// A blocking call for a worker thread: a store call, or for `start_peer` and `config_pull` an HTTP fetch of
 /// the configuration from `http_address`.
--- a/include/lovage/control/control_state.h
+++ b/include/lovage/control/control_state.h
@@ -37,6 +37,23 @@
     std::function<result<fleet_config>(const std::string& document)> parse_config;
     std::function<std::string(const move_record&)> encode_move;
     std::function<result<move_record>(const std::string&)> decode_move;
+    /// Returns the store's era in which a configuration document was written; may be empty if the store is
+    /// never restored.
+    std::function<std::uint64_t(const std::string& document)> config_era;
+    /// Returns the document as it is written again in the store's era `era`.
+    std::function<result<std::string>(const std::string& document, std::uint64_t era)> restate_config;
+};
+
+/// The configuration as last seen in the store.
+struct stored_config_state {
+    /// As the store states it; 0 if there is none.
+    std::uint64_t revision = 0;
+    /// The revision of the document in the history in which it was written.
+    config_revision written = 0;
+    /// The store's era; 0 if unknown.
+    std::uint64_t era = 0;
+    /// Since when the store, restored from a copy, has lacked the active configuration.
+    std::optional<time_point> lacks_active_since;
 };
 
 /// A log line about a change of state.
@@ -91,6 +108,9 @@
     membership_state membership;
     config_propagation_state propagation;
     leadership_state leadership;
+    stored_config_state stored;
+    bool is_restoring = false;
+    time_point next_restore{};
     /// The active configuration, as stored and as parsed; null until one is known.
     std::shared_ptr<const config_copy> copy;
     std::shared_ptr<const fleet_config> config;
--- a/include/lovage/core/config_propagation.h
+++ b/include/lovage/core/config_propagation.h
@@ -24,6 +24,9 @@
 inline constexpr std::size_t k_announce_fan_out = 4;
 /// Interval between attempts of a starting process to obtain a configuration.
 inline constexpr milliseconds k_bootstrap_retry_interval{1'000};
+/// Time for which a starting process looks for peers with a newer configuration than a restored store has.
+/// Membership is known within a second.
+inline constexpr milliseconds k_copy_wait{3'000};
 /// Interval between attempts to pull a higher revision that this node has heard of.
 inline constexpr milliseconds k_pull_retry_interval{500};
 
@@ -53,6 +56,10 @@
     time_point next_bootstrap{};
     /// The copy with the highest revision received so far from the peers that are asked at start.
     std::optional<config_copy> best;
+    /// A configuration that a restored store still has. It may have been replaced since its copy was made, so
+    /// peers are asked as well, until `copy_usable_at` if there are none.
+    std::optional<config_copy> from_copy;
+    time_point copy_usable_at{};
     /// The member to pull a higher revision from, and the earliest time of the next pull.
     std::optional<config_source> source;
     bool is_pulling = false;
--- a/src/adapters/config_document.cpp
+++ b/src/adapters/config_document.cpp
@@ -1,5 +1,8 @@
 #include "lovage/adapters/config_document.h"
 
+#include "lovage/core/store_revision.h"
+
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace lovage {
@@ -51,6 +54,7 @@
         body[field.name] = value;
     }
     body["previous"] = document.previous;
+    body["era"] = document.era;
     body["applied_ms"] = document.applied.time_since_epoch().count();
     std::string encoded;
     try {
@@ -87,9 +91,11 @@
     }
     const auto previous = read_number(body, "previous");
     const auto applied = read_number(body, "applied_ms");
-    if (!previous || !applied) {
-        return fail(error_kind::protocol_error, "previous, applied_ms: expected unsigned integers");
+    const auto era = read_number(body, "era");
+    if (!previous || !applied || !era) {
+        return fail(error_kind::protocol_error, "previous, applied_ms, era: expected unsigned integers");
     }
+    document.era = std::max(*era, era_of(*previous));
     document.previous = *previous;
     document.applied = wall_time(milliseconds(*applied));
     return document;
--- a/src/adapters/config_store.cpp
+++ b/src/adapters/config_store.cpp
@@ -1,5 +1,7 @@
 #include "lovage/adapters/config_store.h"
 
+#include "lovage/core/store_revision.h"
+
 namespace lovage {
 
 namespace {
@@ -98,6 +100,40 @@
     return is_present ? write_history_entry(store, replaced, (*value)->value) : result<void>{};
 }
 
+result<apply_report> apply_in_era(const store_port& store, const config_document& document,
+                                  const apply_options& options) {
+    const auto encoded = encode_config_document(document);
+    if (!encoded) {
+        return tl::unexpected<error>(encoded.error());
+    }
+    apply_report report;
+    bool has_lost_reply = false;
+    for (int tried = 0; tried < options.max_attempts; ++tried) {
+        if (tried > 0) {
+            options.sleep(options.retry_delay);
+        }
+        const auto evidence = swap_once(store, document, *encoded, has_lost_reply, report.detail);
+        has_lost_reply = has_lost_reply || evidence.answer == swap_outcome::lost;
+        const auto decision = decide_apply(document.previous, document.operation_id, evidence);
+        report.outcome = decision.outcome;
+        report.revision = decision.revision;
+        if (decision.outcome == apply_outcome::accepted || decision.outcome == apply_outcome::conflict) {
+            break;
+        }
+    }
+    if (report.outcome == apply_outcome::accepted) {
+        const auto archived = write_history_entry(store, report.revision, *encoded);
+        report.has_history = archived.has_value();
+        report.detail = archived ? "" : archived.error().detail;
+    }
+    if (report.outcome == apply_outcome::conflict) {
+        if (auto current = read_current_config(store)) {
+            report.current = std::move(*current);
+        }
+    }
+    return report;
+}
+
 } // namespace
 
 std::string config_history_key(config_revision revision) {
@@ -149,39 +185,24 @@
 
 result<apply_report> apply_config(const store_port& store, const config_document& document,
                                   const apply_options& options) {
-    const auto encoded = encode_config_document(document);
-    if (!encoded) {
+    const auto era = [&store] { return store.era ? store.era() : 0; };
+    config_document stated = document;
+    stated.era = era();
+    if (const auto encoded = encode_config_document(stated); !encoded) {
         return tl::unexpected<error>(encoded.error());
     }
     if (const auto archived = archive_revision(store, document.previous); !archived) {
         return tl::unexpected<error>(archived.error());
     }
-    apply_report report;
-    bool has_lost_reply = false;
-    for (int tried = 0; tried < options.max_attempts; ++tried) {
-        if (tried > 0) {
-            options.sleep(options.retry_delay);
-        }
-        const auto evidence = swap_once(store, document, *encoded, has_lost_reply, report.detail);
-        has_lost_reply = has_lost_reply || evidence.answer == swap_outcome::lost;
-        const auto decision = decide_apply(document.previous, document.operation_id, evidence);
-        report.outcome = decision.outcome;
-        report.revision = decision.revision;
-        if (decision.outcome == apply_outcome::accepted || decision.outcome == apply_outcome::conflict) {
-            break;
-        }
-    }
-    if (report.outcome == apply_outcome::accepted) {
-        const auto archived = write_history_entry(store, report.revision, *encoded);
-        report.has_history = archived.has_value();
-        report.detail = archived ? "" : archived.error().detail;
+    stated.era = era();
+    auto report = apply_in_era(store, stated, options);
+    if (!report || report->outcome != apply_outcome::accepted || era_of(report->revision) == stated.era) {
+        return report;
     }
-    if (report.outcome == apply_outcome::conflict) {
-        if (auto current = read_current_config(store)) {
-            report.current = std::move(*current);
-        }
-    }
-    return report;
+    // The first answer of the store tells its era. A document with an earlier one would count as a copy.
+    stated.era = era_of(report->revision);
+    stated.previous = report->revision;
+    return apply_in_era(store, stated, options);
 }
 
 } // namespace lovage
--- a/src/adapters/node_control.cpp
+++ b/src/adapters/node_control.cpp
@@ -9,6 +9,7 @@
 #include "lovage/adapters/store_http.h"
 #include "lovage/core/leadership.h"
 
+#include <limits>
 #include <utility>
 
 namespace lovage {
@@ -23,8 +24,21 @@
     return parse_config_text(decoded->text, "config/current");
 }
 
+// A document that cannot be read is refused when it is parsed.
+std::uint64_t era_of_document(const std::string& document) {
+    const auto decoded = decode_config_document(document);
+    return decoded ? decoded->era : std::numeric_limits<std::uint64_t>::max();
+}
+
+result<std::string> restate_document(const std::string& document, std::uint64_t era) {
+    return decode_config_document(document).and_then([era](config_document&& decoded) {
+        decoded.era = era;
+        return encode_config_document(decoded);
+    });
+}
+
 control_codecs make_codecs() {
-    return {parse_document, encode_move_record, decode_move_record};
+    return {parse_document, encode_move_record, decode_move_record, era_of_document, restate_document};
 }
 
 } // namespace
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -1,6 +1,7 @@
 #include "lovage/control/control_state.h"
 
 #include "lovage/control/move_control.h"
+#include "lovage/core/store_revision.h"
 
 #include <algorithm>
 #include <array>
@@ -22,7 +23,11 @@
 // The lane of each `io_purpose`, in the order of the enumerators.
 constexpr std::array<io_lane, k_io_purpose_count> k_lanes{io_lane::store, io_lane::watch, io_lane::fetch,
                                                           io_lane::fetch, io_lane::store, io_lane::store,
-                                                          io_lane::store};
+                                                          io_lane::store, io_lane::store};
+// The leader writes a configuration that the store has lost only after this time, in which it hears of a
+// newer one that others have, and the operators may write theirs.
+constexpr milliseconds k_config_restore_delay{3'000};
+constexpr milliseconds k_config_restore_interval{1'000};
 
 void write_log(control_output& output, std::string_view event, std::string detail) {
     output.logs.push_back({event, std::move(detail)});
@@ -100,7 +105,10 @@
     propagation.next_bootstrap = now + k_bootstrap_retry_interval;
     propagation.peers_asked = peers.size();
     propagation.peers_answered = 0;
-    propagation.best.reset();
+    propagation.best = propagation.from_copy;
+    if (peers.empty() && propagation.best && now >= propagation.copy_usable_at) {
+        adopt_config(state, *propagation.best, output);
+    }
     for (const auto& peer : peers) {
         io_request request;
         request.purpose = io_purpose::start_peer;
@@ -120,7 +128,8 @@
     request.purpose = io_purpose::config_watch;
     request.store.operation = store_operation::watch;
     request.store.key = std::string(k_config_key);
-    request.store.revision = std::max(state.propagation.revision, state.propagation.refused);
+    request.store.revision =
+        std::max({state.propagation.revision, state.propagation.refused, state.stored.revision});
     request.store.duration = k_watch_timeout;
     output.io.push_back(std::move(request));
 }
@@ -178,20 +187,97 @@
     output.view = std::make_shared<const fleet_view>(make_view(state, now, wall));
 }
 
+// Returns the configuration of the store with the revision that it had in the history in which it was
+// written, so that a restored store does not bring an old one back.
+config_copy copy_of(const control_state& state, const store_value& value) {
+    const auto shown = era_of(value.revision);
+    const auto written = state.codecs.config_era ? state.codecs.config_era(value.value) : shown;
+    return {make_revision(std::min(written, shown), number_of(value.revision)), value.value};
+}
+
+// Records what the store showed in answer to a call. `value` is empty if it has no configuration.
+config_copy record_stored(control_state& state, const store_reply& reply, time_point now,
+                          control_output& output) {
+    const store_value value = reply.value.value_or(store_value{});
+    const auto copy = copy_of(state, value);
+    auto& stored = state.stored;
+    stored.revision = value.revision;
+    stored.written = copy.revision;
+    stored.era = std::max(reply.era, era_of(value.revision));
+    const auto active = state.propagation.revision;
+    if (active == 0 || copy.revision >= active || stored.era <= era_of(active)) {
+        stored.lacks_active_since.reset();
+    } else if (!stored.lacks_active_since) {
+        stored.lacks_active_since = now;
+        write_log(output, "config_lost_by_store",
+                  "active " + std::to_string(active) + ", stored " + std::to_string(copy.revision) +
+                      ", store_era " + std::to_string(stored.era));
+    }
+    return copy;
+}
+
+void restore_config(control_state& state, time_point now, control_output& output) {
+    const auto& since = state.stored.lacks_active_since;
+    if (!since || state.is_restoring || !is_leading(state.leadership, now) || state.propagation.source ||
+        now < std::max(*since + k_config_restore_delay, state.next_restore)) {
+        return;
+    }
+    const auto document = state.codecs.restate_config(state.copy->document, state.stored.era);
+    if (!document) {
+        state.next_restore = now + k_config_restore_interval;
+        write_log(output, "config_not_restored", document.error().detail);
+        return;
+    }
+    state.is_restoring = true;
+    io_request request;
+    request.purpose = io_purpose::config_restore;
+    request.store.operation = store_operation::compare_and_swap;
+    request.store.key = std::string(k_config_key);
+    request.store.value = *document;
+    request.store.revision = state.stored.revision;
+    output.io.push_back(std::move(request));
+}
+
+void apply_config_restore(control_state& state, const io_event& event, time_point now,
+                          control_output& output) {
+    state.is_restoring = false;
+    state.next_restore = now + k_config_restore_interval;
+    if (event.store.failure) {
+        // The watch shows what the store has.
+        return;
+    }
+    store_reply written;
+    written.value = store_value{event.request.store.value, event.store.number};
+    written.era = event.store.era;
+    adopt_config(state, copy_of(state, *written.value), output);
+    record_stored(state, written, now, output);
+}
+
 void apply_config_start(control_state& state, const io_event& event, time_point now, control_output& output) {
-    record_store_reply(state.propagation, !event.store.failure, now);
-    if (event.store.value) {
-        adopt_config(state, {event.store.value->revision, event.store.value->value}, output);
+    auto& propagation = state.propagation;
+    if (!event.store.value) {
+        record_store_reply(propagation, !event.store.failure, now);
+        return;
+    }
+    const auto copy = record_stored(state, event.store, now, output);
+    const bool is_from_copy = era_of(copy.revision) < state.stored.era;
+    record_store_reply(propagation, !is_from_copy, now);
+    if (!is_from_copy) {
+        adopt_config(state, copy, output);
+    } else if (!propagation.from_copy) {
+        propagation.from_copy = copy;
+        propagation.copy_usable_at = now + k_copy_wait;
     }
 }
 
 void apply_config_watch(control_state& state, const io_event& event, time_point now, control_output& output) {
     state.is_watching = false;
     // The store answers a watch of a missing key immediately; without a pause the calls would never stop.
-    const bool is_early_reply = !event.store.value && now < state.watch_started + k_watch_timeout / 2;
+    const bool has_config = event.store.value && event.store.value->revision > 0;
+    const bool is_early_reply = !has_config && now < state.watch_started + k_watch_timeout / 2;
     state.next_watch = event.store.failure || is_early_reply ? now + k_watch_retry_interval : now;
     if (event.store.value) {
-        adopt_config(state, {event.store.value->revision, event.store.value->value}, output);
+        adopt_config(state, record_stored(state, event.store, now, output), output);
     }
 }
 
@@ -218,8 +304,8 @@
 // Handlers of finished calls, in the order of `io_purpose`.
 using io_result_handler = void (*)(control_state&, const io_event&, time_point, control_output&);
 constexpr std::array<io_result_handler, k_io_purpose_count> k_io_result_handlers{
-    apply_config_start, apply_config_watch,    apply_start_peer,      apply_config_pull,
-    apply_leadership,   apply_move_read_reply, apply_move_write_reply};
+    apply_config_start, apply_config_watch,    apply_start_peer,       apply_config_pull,
+    apply_leadership,   apply_move_read_reply, apply_move_write_reply, apply_config_restore};
 
 struct event_context {
     control_state* state;
@@ -310,6 +396,7 @@
     start_config(state, now, output);
     watch_config(state, now, output);
     pull_config(state, now, output);
+    restore_config(state, now, output);
     step_leadership(state, now, output);
     moves_tick(state, now, wall, output);
     publish_view(state, now, wall, output);
@@ -329,6 +416,11 @@
                may_adopt(propagation, propagation.source->revision)) {
         next = std::min(next, propagation.next_pull);
     }
+    if (state.stored.lacks_active_since && !state.is_restoring && !propagation.source &&
+        is_leading(state.leadership, now)) {
+        next = std::min(
+            next, std::max(*state.stored.lacks_active_since + k_config_restore_delay, state.next_restore));
+    }
     return next;
 }
 
--- a/src/programs/lovagectl/config_commands.cpp
+++ b/src/programs/lovagectl/config_commands.cpp
@@ -178,7 +178,8 @@
             options.text(option::reason),
             std::move(text),
             previous,
-            wall_now()};
+            wall_now(),
+            0};
 }
 
 struct change_numbers {
--- a/tests/unit/control_exchange.h
+++ b/tests/unit/control_exchange.h
@@ -170,7 +170,8 @@
     /// Codecs of nodes that are added later.
     control_codecs codecs = make_codecs();
 
-    /// Codecs that accept every configuration document except "invalid".
+    /// Codecs that accept every configuration document except "invalid". A document may end with "@" and the
+    /// store's era in which it was written.
     static control_codecs make_codecs() {
         control_codecs made;
         made.parse_config = [](const std::string& document) -> result<fleet_config> {
@@ -179,6 +180,13 @@
             }
             return fleet_config{};
         };
+        made.config_era = [](const std::string& document) -> std::uint64_t {
+            const auto at = document.find('@');
+            return at == std::string::npos ? 0 : std::stoull(document.substr(at + 1));
+        };
+        made.restate_config = [](const std::string& document, std::uint64_t era) -> result<std::string> {
+            return document.substr(0, document.find('@')) + "@" + std::to_string(era);
+        };
         return made;
     }
 
--- a/tests/unit/control_state_test.cpp
+++ b/tests/unit/control_state_test.cpp
@@ -62,6 +62,86 @@
     }
 }
 
+struct restored_config_case {
+    const char* name;
+    // Whether the copy has the configuration at all.
+    bool has_config;
+    // When an operator writes another configuration after the restoration; negative for never.
+    int written_after_ms;
+    const char* expected;
+    // How often the operator's other keys were written before the restoration and not since.
+    int lost_changes;
+};
+
+// Guards against a configuration that comes back older from a restored store, against one that is lost, and
+// against a new one that is not adopted because its number is lower than that of the lost one.
+TEST_CASE("a restored store neither brings a configuration back nor hides a new one") {
+    const auto test = GENERATE(from_range(std::vector<restored_config_case>{
+        {"nothing is written", true, -1, "second", 0},
+        {"nothing is written, no configuration", false, -1, "second", 0},
+        {"a new one", true, 500, "third", 0},
+        {"a new one with a lower number", true, 500, "third", 20},
+        {"a new one, no configuration", false, 500, "third", 20},
+        {"a new one after the lost one is restored", true, 20'000, "third", 20},
+    }));
+    const auto seed = GENERATE(range(1U, 4U));
+    CAPTURE(test.name, seed);
+    auto exchange = make_fleet(seed, true);
+    if (!test.has_config) {
+        exchange.store.items.erase("config/current");
+    }
+    const auto copy = exchange.store;
+    const auto copied_at = exchange.now;
+    for (int i = 0; i < test.lost_changes; ++i) {
+        exchange.store.put("other", "lost");
+    }
+    const auto lost = exchange.store.put("config/current", "second");
+    exchange.run_for(milliseconds{2'000});
+    REQUIRE(all_have(exchange, lost));
+    exchange.store.restore(copy, copied_at, exchange.now);
+    if (test.written_after_ms >= 0) {
+        exchange.run_for(milliseconds{test.written_after_ms});
+        const auto written = exchange.store.put("config/current", "third@1");
+        exchange.run_for(milliseconds{2'000});
+        CHECK(all_have(exchange, written));
+    }
+    exchange.run_for(milliseconds{20'000});
+    for (const auto& [name, node] : exchange.nodes) {
+        CAPTURE(name);
+        CHECK(node.state.copy->document.substr(0, node.state.copy->document.find('@')) == test.expected);
+        CHECK(strictly_increases(node.revisions));
+    }
+    CHECK(exchange.store.items.at("config/current").value.value == std::string(test.expected) + "@1");
+    exchange.run_for(milliseconds{5'000});
+    const auto settled = exchange.store.items.at("config/current").value.revision;
+    exchange.run_for(milliseconds{20'000});
+    CHECK(exchange.store.items.at("config/current").value.revision == settled);
+}
+
+// Guards against a process that starts with the older configuration of a restored store, and against one that
+// finds no peer and never starts.
+TEST_CASE("a process that starts after a restoration asks its peers as well") {
+    const bool has_peers = GENERATE(true, false);
+    CAPTURE(has_peers);
+    auto exchange = make_fleet(2, true);
+    const auto copy = exchange.store;
+    const auto copied_at = exchange.now;
+    const auto lost = exchange.store.put("config/current", "second");
+    exchange.run_for(milliseconds{2'000});
+    exchange.store.restore(copy, copied_at, exchange.now);
+    if (!has_peers) {
+        exchange.nodes.clear();
+    }
+    auto& started = exchange.add("e9", "ua-a", {"e1"});
+    exchange.run_for(milliseconds{2'000});
+    if (has_peers) {
+        REQUIRE_FALSE(started.revisions.empty());
+        CHECK(started.revisions.front() == lost);
+    }
+    exchange.run_for(milliseconds{4'000});
+    CHECK(started.state.propagation.phase == bootstrap_phase::ready);
+}
+
 struct late_reply_case {
     const char* name;
     io_purpose purpose;
