--- a/src/adapters/store_http.cpp
+++ b/src/adapters/store_http.cpp
@@ -207,8 +207,7 @@
         path += "&lease=" + std::to_string(number_of(lease));
     }
     const auto answer = counted_exchange(client, store_call::compare_and_swap, "PUT", path, value);
-    const auto written =
-        answer.and_then([](const auto& received) { return read_number(received, "revision"); });
+    auto written = answer.and_then([](const auto& received) { return read_number(received, "revision"); });
     // This answer may be the first after a restoration, with a number of the lost history that matched.
     if (written && lease != 0 && era_of(lease) != answer->era) {
         const auto removed = remove(client, key, *written);
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -199,7 +199,7 @@
 config_copy record_stored(control_state& state, const store_reply& reply, time_point now,
                           control_output& output) {
     const store_value value = reply.value.value_or(store_value{});
-    const auto copy = copy_of(state, value);
+    auto copy = copy_of(state, value);
     auto& stored = state.stored;
     stored.revision = value.revision;
     stored.written = copy.revision;
