--- a/src/adapters/config_document.cpp
+++ b/src/adapters/config_document.cpp
@@ -1,7 +1,9 @@
 #include "lovage/adapters/config_document.h"
 
+#include "lovage/core/store_revision.h"
 #include "lovage/core/time_limits.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace lovage {
@@ -53,6 +55,7 @@
         body[field.name] = value;
     }
     body["previous"] = document.previous;
+    body["era"] = document.era;
     body["applied_ms"] = document.applied.time_since_epoch().count();
     std::string encoded;
     try {
@@ -89,11 +92,13 @@
     }
     const auto previous = read_number(body, "previous");
     const auto applied = read_number(body, "applied_ms");
+    const auto era = read_number(body, "era");
     constexpr auto k_latest_ms = static_cast<std::uint64_t>(k_latest_wall_time.time_since_epoch().count());
-    if (!previous || !applied || *applied > k_latest_ms) {
+    if (!previous || !applied || !era || *applied > k_latest_ms) {
         return fail(error_kind::protocol_error,
-                    "previous, applied_ms: expected unsigned integers and a time before the year 10000");
+                    "previous, applied_ms, era: expected unsigned integers and a time before the year 10000");
     }
+    document.era = std::max(*era, era_of(*previous));
     document.previous = *previous;
     document.applied = wall_time(milliseconds(*applied));
     return document;
--- a/src/control/gateway_control.cpp
+++ b/src/control/gateway_control.cpp
@@ -1,6 +1,7 @@
 #include "lovage/control/gateway_control.h"
 
 #include "lovage/control/event_queue.h"
+#include "lovage/core/store_revision.h"
 
 #include <algorithm>
 #include <condition_variable>
@@ -32,6 +33,9 @@
 // Interval at which the writer thread repeats a write of quarantined prompts while the store is away.
 constexpr milliseconds k_quarantine_retry_interval{1'000};
 
+// Heartbeats after which the removed entry of a silent target has been read: the store waits for three.
+constexpr int k_heartbeats_to_expiry = 4;
+
 // Longest wait of the writer thread before it checks again whether it must stop.
 constexpr milliseconds k_idle_wait{60'000};
 
@@ -112,6 +116,11 @@
         update.failure = page.error();
         return update;
     }
+    if (position.revision != 0 && !continues_history(position.revision, page->revision)) {
+        update.failure =
+            error{error_kind::history_lost, "the store was restored from a copy", milliseconds(0)};
+        return update;
+    }
     page_read read;
     read.revision = page->revision;
     read.has_more_pages = page->has_more && !page->items.empty();
@@ -259,6 +268,14 @@
             }
         }
         due_writes.clear();
+        std::vector<quarantine_record> lost;
+        next = std::min(next, take_lost_quarantines(gateway, now, lost));
+        for (auto& record : lost) {
+            if (!writes.push(std::move(record))) {
+                ports.log(
+                    {log_level::warning, "quarantine_dropped", {{"detail", "the queue of writes is full"}}});
+            }
+        }
         const auto before = gateway.view;
         auto view = make_gateway_view(gateway, now, wall);
         for (const auto& line : gateway.logs) {
@@ -279,6 +296,7 @@
     own.ports = std::move(ports);
     own.gateway.documents = own.ports.documents;
     own.gateway.moves.limits = own.ports.moves;
+    own.gateway.entry_expiry = own.ports.freshness.target_heartbeat * k_heartbeats_to_expiry;
     own.control = std::thread([&own] { own.run(); });
     own.watcher = std::thread([&own] { own.watch_store(); });
     own.writer = std::thread([&own] { own.write_records(); });
