--- a/include/lovage/ports/target_port.h
+++ b/include/lovage/ports/target_port.h
@@ -96,6 +96,8 @@
     /// Whether the header field that states one of them has a value that could not be read.
     bool has_invalid_leaving = false;
     bool has_invalid_pause = false;
+    /// Whether the answer has neither a length nor chunks, so that the end of its connection is its end.
+    bool ends_with_connection = false;
     std::optional<reported_load> load;
 };
 
--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -155,9 +155,9 @@
         read_head();
         return;
     }
-    const auto head =
-        m_codec.decode_answer(static_cast<int>(message.result_int()), std::string(message.reason()),
-                              end_to_end_fields(message), *m_request);
+    auto head = m_codec.decode_answer(static_cast<int>(message.result_int()), std::string(message.reason()),
+                                      end_to_end_fields(message), *m_request);
+    head.ends_with_connection = m_parser->need_eof();
     m_events.on_head(head);
     if (!is_finished()) {
         m_phase = exchange_phase::reading_body;
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -216,9 +216,13 @@
         return;
     }
     const bool is_event_stream = current.use == answer_use::forward_events;
-    if (is_event_stream && !current.events.partial.empty()) {
+    // Only a continued stream may have no event left.
+    const bool has_no_event =
+        current.head.ends_with_connection && !current.has_event && m_last_event_id.empty();
+    if (is_event_stream && (has_no_event || !current.events.partial.empty())) {
         current.is_connection_lost = true;
-        end_attempt(attempt_end::broken, "the stream ended in the middle of an event");
+        end_attempt(attempt_end::broken, has_no_event ? "the stream ended before its first event"
+                                                      : "the stream ended in the middle of an event");
         return;
     }
     if (is_event_stream || m_delivered == delivery_phase::body) {
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -585,6 +585,35 @@
     CHECK(gateway.caller.body == fake_gateway::event(1) + (test.is_complete ? test.tail : ""));
 }
 
+struct empty_stream_case {
+    const char* name;
+    bool ends_with_connection;
+    std::string last_event_id;
+    bool is_complete;
+};
+
+// Guards against a stream of an engine that crashed before its first event, passed on as complete, and
+// against a prompt that crashes engines and counts as sound for it.
+TEST_CASE("a stream that ends with its connection has an event") {
+    const auto test = GENERATE(from_range(std::vector<empty_stream_case>{
+        {"ends with its connection", true, "", false},
+        {"has another end", false, "", true},
+        {"continued after the last event", true, "5", true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 1, 1);
+    const auto request = gateway.request("key", "/r/x", test.last_event_id);
+    const auto first = gateway.attempts.at(0);
+    auto head = fake_gateway::head(200);
+    head.ends_with_connection = test.ends_with_connection;
+    first->events.on_head(head);
+    first->events.on_end();
+    CHECK(gateway.caller.is_finished == test.is_complete);
+    CHECK(gateway.caller.replies.empty() == test.is_complete);
+    CHECK(gateway.traffic.quarantine.crashes.empty() == test.is_complete);
+}
+
 struct large_answer_case {
     const char* name;
     request_kind kind;
--- a/tests/unit/target_pool_test.cpp
+++ b/tests/unit/target_pool_test.cpp
@@ -43,6 +43,7 @@
     struct outcome {
         bool has_head = false;
         bool is_complete = false;
+        bool ends_with_connection = false;
         std::string body;
         std::optional<attempt_end> failure;
         std::string detail;
@@ -104,7 +105,10 @@
         outcome result;
         bool is_done = false;
         attempt_events events;
-        events.on_head = [&result](const answer_head&) { result.has_head = true; };
+        events.on_head = [&result](const answer_head& head) {
+            result.has_head = true;
+            result.ends_with_connection = head.ends_with_connection;
+        };
         events.on_body = [&result](std::string_view bytes) { result.body += bytes; };
         events.on_end = [&] {
             result.is_complete = true;
@@ -233,11 +237,13 @@
         {"chunks, more bytes", chunks, "5\r\nwhole\r\n0\r\n\r\nmore", false, true, "whole"},
     }));
     CAPTURE(test.name);
+    const bool is_unframed = test.fields != chunks && test.fields.find("Content-Length") == std::string::npos;
     const auto first_answer = "HTTP/1.1 200 OK\r\nRequest-Id: id\r\n" + test.fields + "\r\n" + test.bytes;
     scripted_server server({{{first_answer}, false, test.is_reset}, {{k_second_answer}, false}});
     pool_client client;
     const auto first = client.send(server.address());
     CAPTURE(first.detail);
+    CHECK(first.ends_with_connection == is_unframed);
     CHECK(first.is_complete == test.is_complete);
     CHECK((first.failure == attempt_end::broken) == !test.is_complete);
     CHECK((!test.is_complete || first.body == test.body));
