A restored entry displaces no newer target, and withholding begins anew (CONFIG)

What callers would see: no work for a sound target while the copy's entry of its predecessor at the same address counts as newer; and work for a target that has left, if the store comes back a second time meanwhile.

Cause: the revision at which a target was first seen kept the era before the restoration; the time until which an unconfirmed entry is withheld was that of the first restoration.

Change: both are set again when an era begins.

--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -54,6 +54,13 @@
     }
     state.era_seen = now;
     state.health.recovered_at = now;
+    for (auto& [id, target] : state.targets) {
+        // An entry that only the copy holds does not count as newer than what registered after the copy.
+        target.created = make_revision(era, number_of(target.created));
+        if (target.withheld_until) {
+            target.withheld_until = now + state.entry_expiry;
+        }
+    }
     begin_moves_era(state.moves);
     add_log(state, log_level::warning, "store_restored",
             {{"era", std::to_string(era)},
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -426,6 +426,47 @@
     return {puts[0].key, store_value{puts[0].value, revision}};
 }
 
+// Guards against a target that gets no work because a restored store brings back the entry of the target that
+// had its address before.
+TEST_CASE("an entry that only the store's copy holds replaces no target that registered after the copy") {
+    auto state = make_state();
+    auto before = full_read(
+        {config(1, make_revision(1, 1)), target("old", "10.0.0.1:1", "ready", make_revision(1, 40))});
+    before.revision = make_revision(1, 41);
+    apply_store_update(state, before, at_ms(0));
+    apply_store_update(state,
+                       changes_only({{"servers/old", std::nullopt},
+                                     target("new", "10.0.0.1:1", "ready", make_revision(1, 45))}),
+                       at_ms(100));
+    REQUIRE(usable_target_ids(state) == std::vector<std::string>{"new"});
+    apply_store_update(
+        state,
+        restored_read(
+            {config(1, make_revision(2, 1)), target("old", "10.0.0.1:1", "ready", make_revision(2, 40))}, 2),
+        at_ms(5'000));
+    CHECK(usable_target_ids(state) == std::vector<std::string>{"new"});
+}
+
+// Guards against a target that has left and is in use again because its withholding ended in an earlier era.
+TEST_CASE("the withholding of a target begins anew with each restoration") {
+    auto state = make_state();
+    auto before = full_read({config(1, make_revision(1, 1)), target_at("ready", make_revision(1, 2), 7)});
+    before.revision = make_revision(1, 2);
+    apply_store_update(state, before, at_ms(0));
+    apply_store_update(state, changes_only({{"servers/t1", std::nullopt}}), at_ms(100));
+    for (const std::uint64_t era : {2, 3}) {
+        apply_store_update(
+            state,
+            restored_read({config(1, make_revision(era, 1)), target_at("ready", make_revision(era, 2), 7)},
+                          era),
+            at_ms(static_cast<std::int64_t>(era) * 4'000));
+    }
+    expire_targets(state, at_ms(16'700));
+    CHECK(usable_target_ids(state).empty());
+    expire_targets(state, at_ms(16'900));
+    CHECK(usable_target_ids(state).size() == 1);
+}
+
 struct restored_move_case {
     const char* name;
     /// What the copy holds, and what is read a second later.
