An order that a restored store has lost outlasts an earlier one in the copy (CONFIG)

What callers would see: a bad version that had been rolled back is exposed again, since the copy holds the order before it, which replaced the lost one with its record, veto and evidence; or since a full read that took longer than 2.2 s, or a failure between two of its pages, dropped a missing order at once.

Cause: only an order that is missing was kept, and only while the store counted as just recovered.

Change: an order of a later era with a smaller number is put aside for 2.2 s, and takes the place of the lost one unless that is written again; a missing order is kept for as long from the end of the first full read of the era.

The slow full read has no test of its own.

--- a/include/lovage/control/gateway_moves.h
+++ b/include/lovage/control/gateway_moves.h
@@ -50,6 +50,9 @@
     result<std::uint64_t> revision = 0;
 };
 
+/// How long an order that a restored store lacks is kept; the operators write it again after its return.
+inline constexpr milliseconds k_lost_order_timeout{2'200};
+
 /// The state of one service's move as this process knows it.
 struct gateway_move {
     rollout_order order;
@@ -74,6 +77,8 @@
     std::optional<time_point> over_since;
     /// Set if a restored store lacks the order: it is dropped at this time unless it is written again.
     std::optional<time_point> removal_deadline;
+    /// An earlier order that a restored store holds; it replaces the lost one at that time.
+    std::optional<rollout_order> earlier_order;
 };
 
 /// All moves of services. A move is the rollout of another version of a service's targets, which operators
@@ -114,6 +119,8 @@
 /// Applies the beginning of a full read in a new era of the store. What is known of the moves stays; records
 /// that the store lacks, or holds in an older state, are written again once `are_records_read` is set.
 void begin_moves_era(gateway_moves& moves);
+/// Keeps the order of `service`, which the store's copy lacks, until it is written again or the timeout ends.
+void keep_lost_order(gateway_moves& moves, const std::string& service, time_point now);
 /// Drops the orders whose removal deadline has passed; returns the next deadline.
 std::optional<time_point> expire_orders(gateway_moves& moves, time_point now);
 
--- a/src/control/gateway_moves.cpp
+++ b/src/control/gateway_moves.cpp
@@ -103,6 +103,12 @@
            known.version == order.version && known.duration_s == order.duration_s;
 }
 
+// Whether `order` is from before `known`: a restored store has brought it back.
+bool is_earlier_order(const rollout_order& known, const rollout_order& order) {
+    return known.revision != 0 && era_of(known.revision) < era_of(order.revision) &&
+           number_of(order.revision) < number_of(known.revision);
+}
+
 void plan(const gateway_moves& moves, gateway_move& move, time_point now, wall_time wall,
           moves_output& output) {
     auto record = plan_version_move(planning_input(moves, move, now, wall));
@@ -159,7 +165,13 @@
 
 void apply_rollout_order(gateway_moves& moves, const rollout_order& order, time_point now) {
     auto& move = moves.open[order.service];
+    if (is_earlier_order(move.order, order) && !is_written_again(move.order, order)) {
+        move.earlier_order = order;
+        keep_lost_order(moves, order.service, now);
+        return;
+    }
     move.removal_deadline.reset();
+    move.earlier_order.reset();
     if (move.order.revision == order.revision) {
         return;
     }
@@ -197,11 +209,22 @@
     }
 }
 
+void keep_lost_order(gateway_moves& moves, const std::string& service, time_point now) {
+    const auto found = moves.open.find(service);
+    if (found != moves.open.end() && !found->second.removal_deadline) {
+        found->second.removal_deadline = now + k_lost_order_timeout;
+    }
+}
+
 std::optional<time_point> expire_orders(gateway_moves& moves, time_point now) {
     std::optional<time_point> next;
+    std::vector<rollout_order> earlier;
     for (auto move = moves.open.begin(); move != moves.open.end();) {
         const auto deadline = move->second.removal_deadline;
         if (deadline && *deadline <= now) {
+            if (move->second.earlier_order) {
+                earlier.push_back(*move->second.earlier_order);
+            }
             move = moves.open.erase(move);
             continue;
         }
@@ -210,6 +233,9 @@
         }
         ++move;
     }
+    for (const auto& order : earlier) {
+        apply_rollout_order(moves, order, now);
+    }
     return next;
 }
 
--- a/src/control/gateway_state.cpp
+++ b/src/control/gateway_state.cpp
@@ -233,11 +233,12 @@
 }
 
 void remove_absent(gateway_state& state, const store_keys_seen& seen, time_point now) {
-    const bool is_restored = state.health.recovered_at == state.era_seen;
+    // The first full read of an era; the operators' next write may be on its way.
+    const bool is_restored = !state.moves.are_records_read;
     for (auto move = state.moves.open.begin(); move != state.moves.open.end();) {
         const bool is_missing = seen.ordered_services.count(move->first) == 0;
-        if (is_missing && is_restored && !is_reliable(state.health, now)) {
-            move->second.removal_deadline = state.era_seen + k_reregistration_timeout;
+        if (is_missing && is_restored) {
+            keep_lost_order(state.moves, move->first, now);
         }
         move = is_missing && !move->second.removal_deadline ? state.moves.open.erase(move) : std::next(move);
     }
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -408,8 +408,13 @@
     CHECK(view_of(state)->splits.at("s").share == test.share);
 }
 
+store_change order_of(const std::string& version, std::uint64_t revision) {
+    const auto text = R"({"Service":"s","Target":")" + version + R"(","DurationS":12})";
+    return {"op/rollout/s", store_value{text, revision}};
+}
+
 store_change order_at(std::uint64_t revision) {
-    return {"op/rollout/s", store_value{R"({"Service":"s","Target":"v2","DurationS":12})", revision}};
+    return order_of("v2", revision);
 }
 
 store_change record_at(const std::string& id, move_phase phase, std::uint64_t sequence,
@@ -511,6 +516,14 @@
          0,
          5},
         {"neither record nor order, for good", {}, {}, false, ""},
+        {"an earlier order, the lost one is written again",
+         {order_of("v1", make_revision(2, 2))},
+         {order_at(make_revision(2, 11))},
+         true,
+         "s@11",
+         0,
+         5},
+        {"an earlier order, for good", {order_of("v1", make_revision(2, 2))}, {}, false, ""},
         {"another process has written the record again",
          {copied_order},
          {record_at("s@3", move_phase::landed, 5, make_revision(2, 12))},
