--- a/include/lovage/core/withdrawn_targets.h
+++ b/include/lovage/core/withdrawn_targets.h
@@ -29,9 +29,8 @@
     current,
     /// The store has come back from a copy that is older than the announcement of the target's shutdown.
     outdated,
-    /// The store has come back from a copy in which an entry is that had been removed: the target has left,
-    /// or
-    /// had lost its lease. If it has left, the entry expires.
+    /// The store has come back from a copy that holds an entry which had been removed: the target has
+    /// left, or had lost its lease. If it has left, the entry expires.
     unconfirmed,
 };
 inline constexpr std::size_t k_entry_standing_count = 3;
