--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -157,8 +157,12 @@
         print(text)
 
 
-async def start_fronts(folder, store_address, count):
-    fronts = [Front(folder, f"front-{zone}-1", zone, store_address) for zone in "abc"[:count]]
+async def start_fronts(folder, store_addresses, count):
+    """Starts the fronts; `store_addresses`: one for all of them, or a list with one for each."""
+    if isinstance(store_addresses, str):
+        store_addresses = [store_addresses] * count
+    fronts = [Front(folder, f"front-{zone}-1", zone, address)
+              for zone, address in zip("abc"[:count], store_addresses)]
     for front in fronts:
         front.seeds = [f"127.0.0.1:{other.control_port}" for other in fronts]
     for front in fronts:
