--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -91,13 +91,14 @@
         self.port, self.ready_port, self.control_port = free_port(), free_port(), free_port()
         self.internal_port = free_port()
         self.store_address, self.seeds = store_address, []
+        self.bounds = dict(BOUNDS)
         self.process = None
         self.starts = 0
 
     def fields(self):
         return {"NodeName": self.name, "Zone": self.zone, "Region": "r", "Ip": "127.0.0.1",
                 "InternalPorts": [self.internal_port, self.internal_port], "Seeds": self.seeds,
-                "HeartbeatMs": HEARTBEAT_MS, "Limits": LIMITS, "Bounds": BOUNDS,
+                "HeartbeatMs": HEARTBEAT_MS, "Limits": LIMITS, "Bounds": self.bounds,
                 "Listen": {"Front": f"127.0.0.1:{self.port}", "Ready": f"127.0.0.1:{self.ready_port}",
                            "Control": f"127.0.0.1:{self.control_port}"},
                 "Platform": {"Address": self.store_address}}
