--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -144,11 +144,11 @@
 
 
 class Record:
-    """record.txt: what was sent, answered and run."""
+    """The file that the script names, record.txt: what was sent, answered and run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def write(self, text):
         print(f"{time.monotonic() - self.began:8.3f} {text}", file=self.file, flush=True)
@@ -174,7 +174,7 @@
 
 def run(play, case_folder):
     """Runs `play(folder, record)` with a limit of 115 seconds, and exits with its result."""
-    record = Record(case_folder)
+    record = Record(os.path.join(case_folder, sys.argv[1]))
     with tempfile.TemporaryDirectory() as folder:
         try:
             result = asyncio.run(asyncio.wait_for(play(folder, record), 115))
