--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
 import re
@@ -62,10 +63,21 @@
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, text)
 
 
+# Ports below the range that the kernel assigns from: no connection takes one while its process is down.
+PORTS = itertools.cycle(range(20000, 30000))
+for _ in range(os.getpid() * 211 % 10000):
+    next(PORTS)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = next(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 async def is_ok(port, path="/readyz", timeout_s=0.5):
