--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -333,7 +333,7 @@
         break;
     case next_step::break_off:
         m_caller.break_off();
-        finish("broken_off");
+        finish("broken_off", std::string(name_of(k_attempt_end_names, end)) + ": " + detail);
         break;
     }
 }
@@ -466,6 +466,7 @@
          {"first_event_ms", to_ms(m_first_event)},
          {"longest_gap_ms", to_ms(m_longest_gap)},
          {"age_ms", to_ms(m_traffic.timers.now() - m_request.received)},
+         {"left_ms", m_route != nullptr ? std::to_string(time_left().count()) : ""},
          {"config", m_table ? std::to_string(m_table->version) : "0"},
          {"view", std::to_string(m_traffic.view->sequence)}});
 }
