--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -13,6 +13,7 @@
 
 ROLLOUT = {"Service": "app", "Target": "v2", "DurationS": 8}
 DRAIN_S = 2.0  # time after which a server whose entry is removed gets no new requests
+SILENCE_S = 0.9  # of a sound server
 MAX_EVENT_GAP_S = 0.7  # longest gap between events that the streaming route allows
 
 
@@ -106,6 +107,57 @@
     await break_engine(f, freeze)
 
 
+def make_silent_engine_case(name, silent_others, refusing_others):
+    """Guards against a stream that is broken off while its engine is only silent, because the engines that were to continue
+    it are silent or refuse."""
+
+    async def case(f):
+        silent, refusing = [], []
+
+        async def on_event(outcome):
+            if len(outcome.body) > 400 and not silent:
+                others = [e for e in f.world.engines if outcome.request_id not in e.active]
+                silent.extend([f.engine_of(outcome)] + others[:silent_others])
+                refusing.extend(others[silent_others:silent_others + refusing_others])
+                for engine in others[silent_others + refusing_others:]:
+                    await engine.stop()
+                for engine in refusing:
+                    engine.refuse_for(2 * SILENCE_S, retry_after="0.1")
+                for engine in silent:
+                    engine.freeze(True)
+                    asyncio.get_running_loop().call_later(SILENCE_S, engine.freeze, False)
+
+        outcome = await call(f.port, "stream", on_event=on_event)
+        refused = sum(engine.refused.count(outcome.request_id) for engine in refusing)
+        check(not refusing or refused > 0, "no engine refused to continue the stream")
+        check_complete(outcome)
+        check(outcome.longest_gap > SILENCE_S / 2, f"the stream was not silent: longest gap {outcome.longest_gap:.3f} s")
+
+    case.__name__, case.__doc__ = name, make_silent_engine_case.__doc__
+    return case
+
+
+async def read_outlasts_silence_beside_refusals(f):
+    """Guards against a read that fails while its server is only silent, because the other servers refuse it."""
+    silent, refusing = f.world.plain[0], f.world.plain[1:]
+    silent.work_s = 0.1
+    outcomes = []
+    for _ in range(4):
+        calls = [asyncio.create_task(call(f.port, "read")) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        silent.freeze(True)
+        for server in refusing:
+            server.refuse_for(1.0, retry_after="0.1")
+        await asyncio.sleep(SILENCE_S)
+        silent.freeze(False)
+        outcomes += await asyncio.gather(*calls)
+        await asyncio.sleep(0.5)
+    refused = [o for o in outcomes if any(o.request_id in server.refused for server in refusing)]
+    check(any(o.request_id in silent.runs for o in refused), "no silent read was offered to another server")
+    for outcome in outcomes:
+        check_complete(outcome)
+
+
 async def publish_runs_once(f):
     """Guards against a retry of a non-idempotent request whose response was lost, and against calling it not run."""
     for server in f.world.plain:
@@ -748,8 +800,12 @@
 CASES += [make_cut_watches_case("cut_watches_keep_no_server", reset=False, interval_s=1.3),
           make_cut_watches_case("reset_watches_keep_no_server", reset=True, interval_s=0.7)]
 CASES += [make_endless_case(mode) for mode in ENDLESS]
+CASES += [make_silent_engine_case("stream_outlasts_silent_and_refusing_engines", 2, 3)]
 # Listed in KNOWN-RED.txt; run only by name.
-KNOWN_RED = [make_withdrawn_key_case("withdrawn_key_outlasts_a_restoration_without_seeds", 0)]
+KNOWN_RED = [make_withdrawn_key_case("withdrawn_key_outlasts_a_restoration_without_seeds", 0),
+             make_silent_engine_case("stream_outlasts_silence_beside_refusals", 0, 5),
+             make_silent_engine_case("stream_outlasts_silence_beside_unreachable_engines", 0, 0),
+             read_outlasts_silence_beside_refusals]
 
 
 async def run_case(binary, case):
--- a/tests/platform/planned_soak.py
+++ b/tests/platform/planned_soak.py
@@ -1,9 +1,10 @@
 """Soak of planned work: real lovage-gateway processes lose no request of callers that keep their connections open.
 
-Usage: planned_soak.py BINARY [--seeds N | --seed S] [--seconds T] [--gateways N] [--callers N] [--unplanned]. Processes are stopped
-and started in turn, reload, get storms of configurations, and servers leave, refuse or are silent for a second. With
---unplanned, processes are also killed and paused, and links to the store, servers and callers are reset, delayed or cut;
-requests around these are not judged.
+Usage: planned_soak.py BINARY [--seeds N | --seed S] [--seconds T] [--gateways N] [--callers N] [--engines N] [--unplanned]
+[--silence]. Processes are stopped and started in turn, reload, get storms of configurations, and servers leave, refuse or are
+silent for a second. With --unplanned, processes are also killed and paused, and links to the store, servers and callers are
+reset, delayed or cut; requests around these are not judged. With --silence, the only work is that most engines are silent at
+nearly the same moment while another one refuses, beside changes of the configuration.
 """
 
 import argparse
@@ -34,11 +35,12 @@
     def __init__(self, binary, folder, seed, options):
         self.binary, self.folder, self.options = binary, folder, options
         self.random = random.Random(seed)
-        self.world, self.gateways, self.links = World(engines=6, plain=4), [], []
+        self.world, self.gateways, self.links = World(engines=options.engines, plain=4), [], []
         self.disruptions = Disruptions(GRACE_S)
         self.callers, self.problems = [], []
         self.work = collections.Counter()
         self.stopping = set()
+        self.refused = 0  # streams that ran at one engine and were refused by another
 
     async def run(self):
         await self.world.start()
@@ -67,11 +69,21 @@
             await self.world.stop()
         exchanges = [exchange for caller in self.callers for exchange in caller.exchanges]
         self.problems += find_lost(exchanges, self.world.targets, self.disruptions)
+        self.problems += self.check_silence(exchanges)
         self.problems += [problem for problem in (exchange.problem() for exchange in exchanges) if problem]
         return exchanges
 
+    def check_silence(self, exchanges):
+        """Returns a problem if --silence was asked for and no engine refused a stream that had begun at another one."""
+        engines = self.world.engines
+        self.refused = sum(any(e.request_id in engine.refused for engine in engines)
+                           and any(e.request_id in engine.runs for engine in engines) for e in exchanges)
+        return ["no engine refused to continue a stream"] if self.options.silence and not self.refused else []
+
     def steps(self):
         """Returns what is done side by side."""
+        if self.options.silence:
+            return [[self.silence_engines], [self.change_configuration]]
         planned = [[self.stop_in_turn], [self.reload], [self.change_configuration],
                    [self.silence_server, self.refuse_requests, self.leave, self.cut_watches]]
         unplanned = [[self.kill, self.pause, self.break_link, self.crash_server]]
@@ -137,6 +149,19 @@
         await asyncio.sleep(self.random.uniform(*SILENCE_S))
         server.freeze(False)
 
+    async def silence_engines(self):
+        engines = self.random.sample(self.world.engines, len(self.world.engines))
+        refusing, silent = engines[0], engines[1:self.random.randint(3, len(engines))]
+        refusing.refuse_for(self.random.uniform(0.5, 2.0), retry_after=self.random.choice([None, "0.1"]))
+
+        async def silence(engine):
+            await asyncio.sleep(self.random.uniform(0.0, 0.2))
+            engine.freeze(True)
+            await asyncio.sleep(self.random.uniform(0.5, 1.2))
+            engine.freeze(False)
+
+        await asyncio.gather(*[silence(engine) for engine in silent])
+
     async def refuse_requests(self):
         self.random.choice(self.world.targets).refuse_for(self.random.uniform(0.2, 1.5), self.random.choice([0.3, 1.0]))
 
@@ -213,7 +238,9 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="duration of the work for each seed")
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--callers", type=int, default=24)
+    parser.add_argument("--engines", type=int, default=6)
     parser.add_argument("--unplanned", action="store_true")
+    parser.add_argument("--silence", action="store_true")
     parser.add_argument("--logs", default="", help="folder for the logs of failed seeds")
     options = parser.parse_args()
     seeds = ([options.seed] if options.seed is not None
@@ -223,7 +250,7 @@
         soak = PlannedSoak(options.binary, folder, seed, options)
         exchanges = asyncio.run(soak.run())
         statuses = collections.Counter(e.status if e.is_complete else "no whole answer" for e in exchanges)
-        return f"{len(exchanges)} requests, {dict(statuses)}; {dict(soak.work)}", soak.problems
+        return f"{len(exchanges)} requests, {dict(statuses)}; {dict(soak.work)}, {soak.refused} refused continuations", soak.problems
 
     return run_seeds(seeds, options.logs, play)
 
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -262,6 +262,7 @@
         self.refuse_until = 0.0  # time.monotonic(); refuse requests until then, with a Retry-After of the time left
         self.refuse_share = 1.0
         self.retry_after = None  # say this in place of the time left
+        self.refused = []  # ids of the requests that were refused
 
     @property
     def id(self):
@@ -300,6 +301,7 @@
         left = self.refuse_until - time.monotonic()
         if left <= 0 or random.random() >= self.refuse_share:
             return None
+        self.refused.append(request.headers["request-id"])
         value = f"{left:.3f}" if self.retry_after is None else self.retry_after
         return answer(503, headers=[("Not-Executed", "1"), ("Retry-After", value)] + self.refusal_headers(request))
 
--- /dev/null
+++ b/tests/unit/silent_run_test.cpp
@@ -0,0 +1,279 @@
+#include "support/fake_gateway.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+
+namespace lovage {
+
+namespace {
+
+using testing::fake_attempt;
+using testing::fake_gateway;
+
+constexpr int k_events_before_silence = 10;
+
+std::string events(int first, int last) {
+    std::string text;
+    for (int number = first; number <= last; ++number) {
+        text += fake_gateway::event(number);
+    }
+    return text;
+}
+
+// Starts a stream, and lets its engine fall silent after some events until it is given up.
+std::shared_ptr<proxied_request> start_silent_stream(fake_gateway& gateway, int target_count) {
+    gateway.publish(request_kind::streaming, 5, target_count);
+    auto request = gateway.request();
+    auto& first = *gateway.attempts.at(0);
+    first.events.on_head(fake_gateway::head(200));
+    for (int number = 1; number <= k_events_before_silence; ++number) {
+        first.events.on_body(fake_gateway::event(number));
+        gateway.advance(milliseconds(30));
+    }
+    gateway.advance(milliseconds(370));
+    return request;
+}
+
+void refuse(fake_attempt& attempt, int status, bool is_other_target) {
+    auto head = fake_gateway::head(status);
+    head.is_not_run = !is_other_target;
+    head.is_other_target = is_other_target;
+    attempt.events.on_head(head);
+}
+
+void remove_targets(fake_gateway& gateway) {
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    view->targets = std::make_shared<std::map<std::string, target_list>>();
+    ++view->sequence;
+    apply_view(gateway.traffic, view);
+}
+
+struct successor_case {
+    const char* name;
+    std::function<void(fake_gateway&, fake_attempt&)> fail;
+};
+
+// Guards against a stream that is broken off while its engine is only silent, because no other target
+// continues it.
+TEST_CASE("a silent stream goes on at its engine if its successor does not begin", "[.known-red]") {
+    const auto test = GENERATE(from_range(std::vector<successor_case>{
+        {"the copy is gone", [](fake_gateway&, fake_attempt& next) { refuse(next, 503, false); }},
+        {"another target has the address",
+         [](fake_gateway&, fake_attempt& next) { refuse(next, 421, true); }},
+        {"unreachable",
+         [](fake_gateway&, fake_attempt& next) {
+             next.events.on_failure(attempt_end::unreachable, "scripted");
+         }},
+        {"unreachable, and the others were removed",
+         [](fake_gateway& gateway, fake_attempt& next) {
+             remove_targets(gateway);
+             next.events.on_failure(attempt_end::unreachable, "scripted");
+         }},
+        {"refused, and the retry budget shrank",
+         [](fake_gateway& gateway, fake_attempt& next) {
+             gateway.traffic.options.retries = {0.0, 0.0, milliseconds(10'000)};
+             refuse(next, 503, false);
+         }},
+    }));
+    const int target_count = GENERATE(2, 3);
+    CAPTURE(test.name, target_count);
+    fake_gateway gateway;
+    const auto request = start_silent_stream(gateway, target_count);
+    const auto first = gateway.attempts.at(0);
+    REQUIRE(gateway.attempts.size() == 2);
+    CHECK_FALSE(first->is_cancelled);
+    for (std::size_t next = 1; next < gateway.attempts.size(); ++next) {
+        const auto attempt = gateway.attempts[next];
+        test.fail(gateway, *attempt);
+    }
+    CHECK_FALSE(first->is_cancelled);
+    CHECK_FALSE(gateway.caller.is_aborted);
+    gateway.advance(milliseconds(50));
+    first->events.on_body(events(k_events_before_silence + 1, 20));
+    first->events.on_end();
+    CHECK(gateway.caller.body == events(1, 20));
+    CHECK(gateway.caller.is_finished);
+    for (const auto& [id, usage] : gateway.traffic.usage) {
+        CAPTURE(id);
+        CHECK(usage.in_flight == 0);
+        CHECK(usage.copies == 0);
+        CHECK(usage.memory_tokens == 0);
+    }
+}
+
+struct handover_case {
+    const char* name;
+    milliseconds successor_begins;
+    milliseconds cancelled_by;
+};
+
+// Guards against two engines that work on one generation for longer than the platform allows.
+TEST_CASE("a silent engine is told to stop when its successor begins or soon after it was asked",
+          "[.known-red]") {
+    const auto test = GENERATE(from_range(std::vector<handover_case>{
+        {"at once", milliseconds(20), milliseconds(20)},
+        {"before the limit", milliseconds(200), milliseconds(200)},
+        {"after the limit", milliseconds(700), milliseconds(340)},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    const auto request = start_silent_stream(gateway, 3);
+    REQUIRE(gateway.attempts.size() == 2);
+    const auto first = gateway.attempts[0];
+    const auto second = gateway.attempts[1];
+    // Prevents a failover of the second attempt before its first event.
+    gateway.traffic.options.retries = {0.0, 0.0, milliseconds(10'000)};
+    gateway.advance(std::min(test.successor_begins, test.cancelled_by));
+    if (test.successor_begins <= test.cancelled_by) {
+        CHECK_FALSE(first->is_cancelled);
+        second->events.on_head(fake_gateway::head(200));
+        second->events.on_body(fake_gateway::event(k_events_before_silence + 1));
+    }
+    CHECK(first->is_cancelled);
+    CHECK_FALSE(second->is_cancelled);
+}
+
+struct late_event_case {
+    const char* name;
+    bool does_successor_begin;
+};
+
+// Guards against events that are lost or sent twice when a silent engine goes on while its successor is
+// asked.
+TEST_CASE("what a silent engine sends during the handover reaches the caller once", "[.known-red]") {
+    const auto test = GENERATE(from_range(std::vector<late_event_case>{
+        {"the successor begins", true},
+        {"the successor refuses", false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    const auto request = start_silent_stream(gateway, 2);
+    REQUIRE(gateway.attempts.size() == 2);
+    const auto first = gateway.attempts[0];
+    const auto second = gateway.attempts[1];
+    CHECK(first->pauses == std::vector<bool>{true});
+    first->events.on_body(events(k_events_before_silence + 1, 15));
+    CHECK(gateway.caller.body == events(1, k_events_before_silence));
+    if (test.does_successor_begin) {
+        second->events.on_head(fake_gateway::head(200));
+        second->events.on_body(events(k_events_before_silence + 1, 20));
+        second->events.on_end();
+    } else {
+        refuse(*second, 503, false);
+        CHECK(gateway.caller.body == events(1, 15));
+        CHECK(first->pauses == std::vector<bool>{true, false});
+        first->events.on_body(events(16, 20));
+        first->events.on_end();
+    }
+    CHECK(gateway.caller.body == events(1, 20));
+    CHECK(gateway.caller.is_finished);
+}
+
+// Guards against a stream that stays at an engine that never goes on, because its first successor refused.
+TEST_CASE("a stream that was reinstated at a lost engine is tried elsewhere again", "[.known-red]") {
+    fake_gateway gateway;
+    const auto request = start_silent_stream(gateway, 2);
+    REQUIRE(gateway.attempts.size() == 2);
+    refuse(*gateway.attempts[1], 503, false);
+    gateway.advance(milliseconds(2'000));
+    REQUIRE(gateway.attempts.size() >= 3);
+    const auto last = gateway.attempts.back();
+    CHECK(last->options.target_id == gateway.attempts[1]->options.target_id);
+    last->events.on_head(fake_gateway::head(200));
+    last->events.on_body(events(k_events_before_silence + 1, 20));
+    last->events.on_end();
+    CHECK(gateway.attempts[0]->is_cancelled);
+    CHECK(gateway.caller.body == events(1, 20));
+    CHECK(gateway.caller.is_finished);
+}
+
+struct silent_read_case {
+    const char* name;
+    /// Which attempt answers first; the other one is refused or left.
+    std::size_t answering;
+    bool is_refused;
+};
+
+// Guards against a read that fails while its target is only silent, because the other targets refuse it.
+TEST_CASE("a silent read is served by the target that answers first", "[.known-red]") {
+    const auto test = GENERATE(from_range(std::vector<silent_read_case>{
+        {"the successor", 1, false},
+        {"the silent one", 0, false},
+        {"the silent one, after a refusal", 0, true},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 2);
+    const auto request = gateway.request();
+    gateway.advance(milliseconds(8'000));
+    REQUIRE(gateway.attempts.size() == 2);
+    if (test.is_refused) {
+        refuse(*gateway.attempts[1], 503, false);
+    }
+    const auto answering = gateway.attempts[test.answering];
+    answering->events.on_head(fake_gateway::head(200));
+    answering->events.on_body("answer");
+    answering->events.on_end();
+    CHECK(gateway.caller.replies.empty());
+    CHECK(gateway.caller.status == 200);
+    CHECK(gateway.caller.body == "answer");
+    CHECK(gateway.caller.is_finished);
+    CHECK(gateway.attempts[1 - test.answering]->is_cancelled);
+}
+
+struct wait_case {
+    const char* name;
+    bool has_events;
+    /// Time after which a target accepts requests again.
+    milliseconds target_returns;
+    bool is_served;
+};
+
+// Guards against a stream that is broken off with most of its time left because no target accepts it at the
+// moment, and against requests that wait though their callers could be told at once.
+TEST_CASE("a stream that has begun waits for a target until its deadline", "[.known-red]") {
+    const auto test = GENERATE(from_range(std::vector<wait_case>{
+        {"a target returns", true, milliseconds(3'000), true},
+        {"no target returns", true, milliseconds(60'000), false},
+        {"no event yet", false, milliseconds(3'000), false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 2);
+    const auto targets = gateway.traffic.view->targets;
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    if (test.has_events) {
+        first->events.on_head(fake_gateway::head(200));
+        first->events.on_body(events(1, 3));
+    }
+    remove_targets(gateway);
+    first->events.on_failure(attempt_end::broken, "scripted");
+    CHECK(gateway.caller.replies.size() == (test.has_events ? 0 : 1));
+    CHECK_FALSE(gateway.caller.is_aborted);
+    gateway.advance(std::min(test.target_returns, milliseconds(21'000)));
+    CHECK(gateway.expired_timers < 100);
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    view->targets = targets;
+    ++view->sequence;
+    apply_view(gateway.traffic, view);
+    for (int step = 0; step < 100 && gateway.attempts.size() < 2; ++step) {
+        gateway.advance(milliseconds(10));
+    }
+    REQUIRE(gateway.attempts.size() == (test.is_served ? 2 : 1));
+    if (test.is_served) {
+        const auto second = gateway.attempts[1];
+        CHECK(second->options.last_event_id == "3");
+        second->events.on_head(fake_gateway::head(200));
+        second->events.on_body(events(4, 6));
+        second->events.on_end();
+        CHECK(gateway.caller.body == events(1, 6));
+    }
+    CHECK(gateway.caller.is_finished == test.is_served);
+    CHECK(gateway.caller.is_aborted == (test.has_events && !test.is_served));
+}
+
+} // namespace
+
+} // namespace lovage
