--- a/src/adapters/gateway/target_exchange.cpp
+++ b/src/adapters/gateway/target_exchange.cpp
@@ -177,7 +177,6 @@
     m_parser->get().body().size = m_body_part.size();
     http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser,
                           [self = shared_from_this()](const error_code& failure, std::size_t /*bytes*/) {
-                              self->m_is_reading = false;
                               if (!self->is_finished()) {
                                   self->handle_body(failure);
                               }
@@ -196,6 +195,8 @@
         fail(describe_read_failure(failure));
         return;
     }
+    // Only now, since `on_body` may call `pause`, which would start a second read.
+    m_is_reading = false;
     read_body();
 }
 
--- a/src/traffic/proxied_handover.cpp
+++ b/src/traffic/proxied_handover.cpp
@@ -83,7 +83,9 @@
     --m_runs;
     m_sends = 0;
     m_attempt->is_copy_refused |= m_copy.target_id.empty();
-    m_attempt->handle.pause(m_attempt->is_reading_paused);
+    if (is_stream()) {
+        m_attempt->handle.pause(m_attempt->is_reading_paused);
+    }
     log_step(log_level::info, "attempt_reinstated", m_attempt->target.id, reason);
     m_traffic.sink.count("gateway_attempts_reinstated", m_route->name);
     // Started before the events, which may end the attempt.
--- a/tests/unit/silent_run_test.cpp
+++ b/tests/unit/silent_run_test.cpp
@@ -219,6 +219,8 @@
     CHECK(gateway.caller.body == "answer");
     CHECK(gateway.caller.is_finished);
     CHECK(gateway.attempts[1 - test.answering]->is_cancelled);
+    // A call of `pause` would start a second read of the connection within the callback of the first one.
+    CHECK(gateway.attempts[0]->pauses.empty());
 }
 
 struct wait_case {
--- a/tests/unit/target_pool_test.cpp
+++ b/tests/unit/target_pool_test.cpp
@@ -83,7 +83,14 @@
     outcome send_and_resume_reading(const std::string& address) {
         attempt_parameters parameters;
         parameters.target_id = "t1";
-        return run(get_request(), std::move(parameters), address, milliseconds(0), true);
+        return run(get_request(), std::move(parameters), address, milliseconds(0), resume_reading::at_start);
+    }
+
+    /// Starts an attempt whose reading is resumed each time that a part of the body arrives.
+    outcome send_and_resume_in_body(const std::string& address) {
+        attempt_parameters parameters;
+        parameters.target_id = "t1";
+        return run(get_request(), std::move(parameters), address, milliseconds(0), resume_reading::in_body);
     }
 
     /// Sends a request again that the target has already answered.
@@ -103,8 +110,11 @@
     }
 
 private:
+    enum class resume_reading : std::uint8_t { never, at_start, in_body };
+
     outcome run(std::shared_ptr<const forwarded_request> request, attempt_parameters parameters,
-                const std::string& address, milliseconds stall, bool resumes_reading = false) {
+                const std::string& address, milliseconds stall,
+                resume_reading resumes = resume_reading::never) {
         outcome result;
         bool is_done = false;
         attempt_events events;
@@ -112,7 +122,13 @@
             result.has_head = true;
             result.ends_with_connection = head.ends_with_connection;
         };
-        events.on_body = [&result](std::string_view bytes) { result.body += bytes; };
+        attempt_handle handle;
+        events.on_body = [&result, &handle, resumes](std::string_view bytes) {
+            result.body += bytes;
+            if (resumes == resume_reading::in_body) {
+                handle.pause(false);
+            }
+        };
         events.on_end = [&] {
             result.is_complete = true;
             is_done = true;
@@ -124,8 +140,8 @@
         };
         parameters.address = address;
         parameters.time_left = milliseconds(2'000);
-        const auto handle = m_pool->port().open(std::move(request), parameters, std::move(events));
-        if (resumes_reading) {
+        handle = m_pool->port().open(std::move(request), parameters, std::move(events));
+        if (resumes == resume_reading::at_start) {
             handle.pause(false);
         }
         std::this_thread::sleep_for(stall);
@@ -167,6 +183,25 @@
     CHECK(server.requests().size() == (test.is_listening ? 1 : 0));
 }
 
+// Guards against a body that is read twice at once, and so arrives with gaps, because reading is resumed
+// while a part of it is handled.
+TEST_CASE("a body is read whole although reading is resumed while it arrives") {
+    const std::size_t body_bytes = GENERATE(values<std::size_t>({2, 40'000, 400'000}));
+    CAPTURE(body_bytes);
+    std::string body;
+    for (std::size_t i = 0; i < body_bytes; ++i) {
+        body += static_cast<char>('a' + i % 23);
+    }
+    scripted_server server({{{"HTTP/1.1 200 OK\r\nRequest-Id: id\r\nResponse-Seal: s\r\nContent-Length: " +
+                              std::to_string(body_bytes) + "\r\n\r\n" + body},
+                             false}});
+    pool_client client;
+    const auto outcome = client.send_and_resume_in_body(server.address());
+    CAPTURE(outcome.detail);
+    CHECK(outcome.is_complete);
+    CHECK(outcome.body == body);
+}
+
 enum class second_request : std::uint8_t { another, the_same_again, call_after_call, call_after_request };
 
 struct reuse_case {
