--- a/src/traffic/proxied_handover.cpp
+++ b/src/traffic/proxied_handover.cpp
@@ -41,7 +41,6 @@
     if (is_stream()) {
         // What arrives now would reach the caller twice if the successor begins.
         run.handle.pause(true);
-        start_handover_timer();
     }
     use_usual_version_for_retries();
     execute_next_step(attempt_end::silent, detail + " at " + target);
@@ -50,9 +49,13 @@
     }
 }
 
-// Runs of plain requests are kept without a limit: the first target to answer serves the request.
+// Started anew by each send: a successor that was refused has not begun. Runs of plain requests are kept
+// without a limit, since the first target to answer serves the request.
 void proxied_request::start_handover_timer() {
     cancel_timer(m_handover_timer);
+    if (!m_superseded || !is_stream()) {
+        return;
+    }
     m_handover_timer = m_traffic.timers.after(k_max_handover, [self = shared_from_this()] {
         self->m_handover_timer = nullptr;
         self->release_superseded();
@@ -82,7 +85,7 @@
     m_attempt = std::move(superseded.run);
     --m_runs;
     m_sends = 0;
-    m_attempt->is_copy_refused |= m_copy.target_id.empty();
+    m_attempt->is_copy_refused |= m_attempt->has_event && m_copy.target_id.empty();
     if (is_stream()) {
         m_attempt->handle.pause(m_attempt->is_reading_paused);
     }
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -172,6 +172,7 @@
     if (is_stream()) {
         schedule_report(m_traffic);
     }
+    start_handover_timer();
     watch_first_event();
     check_for_stall();
 }
--- a/tests/unit/silent_run_test.cpp
+++ b/tests/unit/silent_run_test.cpp
@@ -65,6 +65,12 @@
          [](fake_gateway&, fake_attempt& next) {
              next.events.on_failure(attempt_end::unreachable, "scripted");
          }},
+        {"connects time out",
+         [](fake_gateway& gateway, fake_attempt& next) {
+             // The first successor was sent 50 ms before.
+             gateway.advance(milliseconds(200));
+             next.events.on_failure(attempt_end::unreachable, "scripted");
+         }},
         {"unreachable, and the others were removed",
          [](fake_gateway& gateway, fake_attempt& next) {
              remove_targets(gateway);
