--- a/include/lovage/core/error_kind.h
+++ b/include/lovage/core/error_kind.h
@@ -22,6 +22,8 @@
     no_target,
     target_busy,
     target_failed,
+    /// The target sent nothing within its timeout and may still be sound.
+    target_silent,
     version_gone,
     outcome_unknown,
     store_unavailable,
@@ -42,7 +44,7 @@
     internal,
 };
 
-inline constexpr std::size_t k_error_kind_count = 29;
+inline constexpr std::size_t k_error_kind_count = 30;
 
 inline constexpr enum_names<k_error_kind_count> k_error_kind_names{
     "invalid_request",
@@ -57,6 +59,7 @@
     "no_target",
     "target_busy",
     "target_failed",
+    "target_silent",
     "version_gone",
     "outcome_unknown",
     "store_unavailable",
--- a/include/lovage/ports/engine_port.h
+++ b/include/lovage/ports/engine_port.h
@@ -38,8 +38,9 @@
 /// The model engine that runs next to the agent. Functions may be called from any thread.
 struct engine_port {
     /// Runs a generation that continues after the tokens in `accepted`; blocks until it ends. Fails with
-    /// `target_failed` if the stream ends without its done event or receives nothing until its timeout,
-    /// `target_busy` if the engine refuses the request, and `cancelled` if a callback stopped the generation.
+    /// `target_failed` if the stream ends without its done event or stalls while the engine reports its load,
+    /// `target_silent` if the engine sends nothing at all until its timeout, `target_busy` if it refuses the
+    /// request, and `cancelled` if a callback stopped the generation.
     std::function<result<engine_finish>(const attempt_ref&, const generation_spec&,
                                         const std::vector<token>& accepted, const engine_stream&)>
         generate;
--- a/src/core/error_kind.cpp
+++ b/src/core/error_kind.cpp
@@ -20,6 +20,7 @@
     {error_kind::no_target, response_class::unavailable, true, true, 1'000},
     {error_kind::target_busy, response_class::too_many, true, true, 500},
     {error_kind::target_failed, response_class::failed, false, true, 500},
+    {error_kind::target_silent, response_class::failed, false, true, 500},
     {error_kind::version_gone, response_class::gone, false, true, 500},
     {error_kind::outcome_unknown, response_class::failed, false, false, 0},
     {error_kind::store_unavailable, response_class::unavailable, true, true, 2'000},
