--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -193,6 +193,7 @@
     step_choice choose_next_step(attempt_end end);
     void perform_step(next_step step, attempt_end end, const std::string& detail);
     void execute_next_step(attempt_end end, const std::string& detail);
+    void handle_missing_target();
     void give_up(error_kind kind, const std::string& detail);
     attempt_outcome facts_of(attempt_end end);
     void deliver_answer(const attempt& done);
--- a/src/traffic/proxied_handover.cpp
+++ b/src/traffic/proxied_handover.cpp
@@ -123,6 +123,16 @@
     });
 }
 
+void proxied_request::handle_missing_target() {
+    const std::string detail = "no usable target of " + m_service_name;
+    if (m_superseded) {
+        reinstate_attempt(detail);
+        return;
+    }
+    // Nothing was sent, as to an unreachable target.
+    perform_step(choose_next_step(attempt_end::unreachable).step, attempt_end::unreachable, detail);
+}
+
 void proxied_request::give_up(error_kind kind, const std::string& detail) {
     if (m_superseded) {
         reinstate_attempt(detail);
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -131,7 +131,8 @@
         record = choose_target_among(candidates, want);
     }
     if (record == nullptr) {
-        give_up(error_kind::no_target, "no usable target of " + m_service_name);
+        // The step was chosen on an older view of the targets.
+        handle_missing_target();
         return;
     }
     log_end_of_pause(m_traffic, *record);
--- a/tests/unit/silent_run_test.cpp
+++ b/tests/unit/silent_run_test.cpp
@@ -42,11 +42,31 @@
     attempt.events.on_head(head);
 }
 
-void remove_targets(fake_gateway& gateway) {
+gateway_view_ptr view_with_targets(const fake_gateway& gateway, target_list targets) {
     auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
-    view->targets = std::make_shared<std::map<std::string, target_list>>();
+    auto by_service = std::make_shared<std::map<std::string, target_list>>();
+    if (!targets.empty()) {
+        (*by_service)["service"] = std::move(targets);
+    }
+    view->targets = by_service;
     ++view->sequence;
-    apply_view(gateway.traffic, view);
+    return view;
+}
+
+void remove_targets(fake_gateway& gateway) {
+    apply_view(gateway.traffic, view_with_targets(gateway, {}));
+}
+
+// Sends the head and events of a stream to the caller.
+void begin_stream(fake_attempt& attempt, int first, int last) {
+    attempt.events.on_head(fake_gateway::head(200));
+    attempt.events.on_body(events(first, last));
+}
+
+void advance_until_attempt(fake_gateway& gateway, std::size_t count) {
+    for (int step = 0; step < 500 && gateway.attempts.size() < count; ++step) {
+        gateway.advance(milliseconds(10));
+    }
 }
 
 struct successor_case {
@@ -281,6 +301,32 @@
     CHECK(gateway.caller.is_aborted == (test.has_events && !test.is_served));
 }
 
+// Guards against a stream that is broken off because a view without targets is published after its next
+// step was chosen.
+TEST_CASE("a stream outlasts targets that go between the choice of its next step and the send") {
+    const auto end = GENERATE(attempt_end::broken, attempt_end::unreachable, attempt_end::not_run);
+    CAPTURE(name_of(k_attempt_end_names, end));
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 5, 3);
+    const auto targets = gateway.traffic.view->targets->at("service");
+    const auto request = gateway.request();
+    begin_stream(*gateway.attempts.at(0), 1, 3);
+    auto newest = view_with_targets(gateway, {});
+    gateway.traffic.newest_view = [&newest] { return newest; };
+    gateway.attempts[0]->events.on_failure(end, "scripted");
+    CHECK_FALSE(gateway.caller.is_aborted);
+    gateway.advance(milliseconds(2'000));
+    REQUIRE(gateway.attempts.size() == 1);
+    newest = view_with_targets(gateway, targets);
+    apply_view(gateway.traffic, newest);
+    advance_until_attempt(gateway, 2);
+    REQUIRE(gateway.attempts.size() == 2);
+    begin_stream(*gateway.attempts[1], 4, 6);
+    gateway.attempts[1]->events.on_end();
+    CHECK(gateway.caller.body == events(1, 6));
+    CHECK(gateway.caller.is_finished);
+}
+
 } // namespace
 
 } // namespace lovage
