--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -92,8 +92,6 @@
         if (current.use == answer_use::reject) {
             end_attempt(attempt_end::failed_answer,
                         "status " + std::to_string(head.status) + " after the response has begun");
-        } else if (!is_stream() && is_success) {
-            release_superseded();
         }
     }
 }
@@ -120,6 +118,7 @@
     } else {
         current.body.append(bytes);
         if (current.body.size() > k_max_buffered_answer_bytes) {
+            release_superseded();
             m_delivered = delivery_phase::body;
             m_caller.start(current.head, std::nullopt);
             m_caller.write(std::move(current.body));
--- a/src/traffic/proxied_handover.cpp
+++ b/src/traffic/proxied_handover.cpp
@@ -88,6 +88,8 @@
     m_attempt->is_copy_refused |= m_attempt->has_event && m_copy.target_id.empty();
     if (is_stream()) {
         m_attempt->handle.pause(m_attempt->is_reading_paused);
+    } else if (std::exchange(m_attempt->is_reading_paused, false)) {
+        m_attempt->handle.pause(false);
     }
     log_step(log_level::info, "attempt_reinstated", m_attempt->target.id, reason);
     m_traffic.sink.count("gateway_attempts_reinstated", m_route->name);
@@ -102,10 +104,18 @@
 }
 
 void proxied_request::handle_superseded_event(std::function<void(proxied_request&)> event) {
+    auto& run = m_superseded->run;
     m_superseded->deferred_events.push_back(std::move(event));
-    if (!is_stream()) {
-        reinstate_attempt("it answered before its successor");
+    if (is_stream()) {
+        return;
+    }
+    if (m_attempt && m_attempt->has_head) {
+        // Both answer: the successor's answer is used unless it breaks off.
+        run.is_reading_paused = true;
+        run.handle.pause(true);
+        return;
     }
+    reinstate_attempt("it answered before its successor");
 }
 
 milliseconds proxied_request::next_retry_delay() {
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -328,6 +328,11 @@
         gateway.attempts[1]->events.on_head(fake_gateway::head(200));
         gateway.attempts[1]->events.on_body(fake_gateway::event(1));
     }
+    if (test.attempts > 1 && test.kind == request_kind::idempotent) {
+        // A plain answer may still break off.
+        CHECK_FALSE(gateway.attempts[0]->is_cancelled);
+        gateway.attempts[1]->events.on_end();
+    }
     CHECK(gateway.attempts[0]->is_cancelled == (test.attempts > 1));
 }
 
--- a/tests/unit/silent_run_test.cpp
+++ b/tests/unit/silent_run_test.cpp
@@ -327,6 +327,46 @@
     CHECK(gateway.caller.is_finished);
 }
 
+struct broken_successor_case {
+    const char* name;
+    /// Whether the silent target answers before its successor breaks off.
+    bool answers_before;
+};
+
+// Guards against a read that fails although its silent target is sound, because the answer of its successor
+// breaks off after its head.
+TEST_CASE("a silent read outlasts an answer of its successor that breaks off") {
+    const auto test = GENERATE(from_range(
+        std::vector<broken_successor_case>{{"before the break", true}, {"after the break", false}}));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::idempotent, 2, 2);
+    const auto request = gateway.request();
+    gateway.advance(milliseconds(8'000));
+    REQUIRE(gateway.attempts.size() == 2);
+    const auto silent = gateway.attempts[0];
+    const auto successor = gateway.attempts[1];
+    const auto answer = [&silent] {
+        silent->events.on_head(fake_gateway::head(200));
+        silent->events.on_body("answer");
+        silent->events.on_end();
+    };
+    successor->events.on_head(fake_gateway::head(200));
+    successor->events.on_body("ans");
+    CHECK_FALSE(silent->is_cancelled);
+    if (test.answers_before) {
+        answer();
+    }
+    successor->events.on_failure(attempt_end::broken, "scripted");
+    if (!test.answers_before) {
+        answer();
+    }
+    CHECK(gateway.caller.replies.empty());
+    CHECK(gateway.caller.status == 200);
+    CHECK(gateway.caller.body == "answer");
+    CHECK(gateway.caller.is_finished);
+}
+
 } // namespace
 
 } // namespace lovage
