--- a/include/lovage/core/attempt_plan.h
+++ b/include/lovage/core/attempt_plan.h
@@ -50,7 +50,7 @@
     bool has_time = true;
     /// The retry budget allows another send.
     bool has_budget = true;
-    /// A target is left to send to.
+    /// A target is left to send to. Once `max_attempts` targets have run the request, only these are.
     bool has_target = true;
     /// The prompt has crashed its engines.
     bool is_quarantined = false;
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -109,6 +109,9 @@
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
                                        const std::string& id);
 
+/// Whether a target has an entry in the view, also one that accepts no new work.
+bool is_known_target(const gateway_traffic& traffic, const std::string& service, const std::string& id);
+
 /// Whether a target may keep a standby copy that it has. A pause does not end the copy: the engine that made
 /// it keeps it up to date.
 bool may_keep_copy(const gateway_traffic& traffic, const std::string& service, const std::string& id);
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -121,6 +121,7 @@
     struct tried_target {
         std::string id;
         time_point excluded_until{};
+        bool may_have_run = false;
     };
 
     struct step_choice {
@@ -150,8 +151,7 @@
     void find_cached_prompt();
     void handle_cached_parts(const std::string& target_id, const std::vector<prompt_part>& cached);
     placement placement_among(const std::vector<target_candidate>& candidates);
-    const target_record* choose_target_among(const std::vector<target_candidate>& candidates,
-                                             const placement& want);
+    const target_record* choose_target_among(const std::vector<target_candidate>& candidates, placement want);
     void send(bool from_copy);
     attempt_events events_of(std::uint32_t number);
     bool is_current(std::uint32_t number) const;
@@ -182,6 +182,8 @@
     void use_usual_version_for_retries();
     void record_try(const std::string& id, attempt_end end);
     bool is_excluded(const std::string& id) const;
+    std::vector<std::string> run_targets() const;
+    bool has_attempt_left_at(const std::string& id) const;
     std::vector<std::string> excluded_targets() const;
     std::vector<std::string> tried_targets() const;
     attempt take_attempt();
--- a/src/core/attempt_plan.cpp
+++ b/src/core/attempt_plan.cpp
@@ -21,8 +21,11 @@
     const bool can_continue = !facts.has_delivered || (facts.is_repeatable && facts.is_continuable);
     // Resuming from a standby copy continues the same run, so it does not count as another attempt.
     const bool can_resume = facts.has_copy && facts.has_delivered;
-    if (!can_repeat || !can_continue || !facts.has_time || facts.is_quarantined ||
-        (facts.runs >= facts.max_attempts && !can_resume)) {
+    // A stream that has begun may go on at a target that has run it; an answer that rejects it would come
+    // again.
+    const bool may_return = facts.has_delivered && facts.end != attempt_end::failed_answer;
+    const bool has_attempt = facts.runs < facts.max_attempts || can_resume || may_return;
+    if (!can_repeat || !can_continue || !facts.has_time || facts.is_quarantined || !has_attempt) {
         return choose_final_step(facts);
     }
     if (!facts.has_budget || facts.sends >= k_max_sends_without_run + facts.max_attempts ||
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -378,6 +378,10 @@
     return target != nullptr && accepts_new_work(traffic, *target) ? target : nullptr;
 }
 
+bool is_known_target(const gateway_traffic& traffic, const std::string& service, const std::string& id) {
+    return find_in(targets_of(traffic, service), id) != nullptr;
+}
+
 bool may_keep_copy(const gateway_traffic& traffic, const std::string& service, const std::string& id) {
     const auto* target = find_in(targets_of(traffic, service), id);
     return target != nullptr &&
--- a/src/traffic/proxied_failover.cpp
+++ b/src/traffic/proxied_failover.cpp
@@ -58,6 +58,7 @@
     }
     const bool has_answered =
         end == attempt_end::not_run || end == attempt_end::copy_gone || end == attempt_end::failed_answer;
+    tried->may_have_run |= may_have_run(end);
     // Of other failures the target has a backoff, which ends early when it serves a request.
     tried->excluded_until = has_answered ? m_traffic.timers.now() + k_refusal_exclusion : time_point{};
 }
@@ -76,6 +77,26 @@
     return has_backoff || tried->excluded_until > now;
 }
 
+// Returns the ids of the targets that may have run the request or run it now, without those that are gone.
+std::vector<std::string> proxied_request::run_targets() const {
+    std::vector<std::string> ids;
+    for (const auto& tried : m_tried) {
+        if (tried.may_have_run && is_known_target(m_traffic, m_service_name, tried.id)) {
+            ids.push_back(tried.id);
+        }
+    }
+    if (m_attempt && std::find(ids.begin(), ids.end(), m_attempt->target.id) == ids.end()) {
+        ids.push_back(m_attempt->target.id);
+    }
+    return ids;
+}
+
+// The route limits the number of targets that run a request, so one that has run it may do so again.
+bool proxied_request::has_attempt_left_at(const std::string& id) const {
+    const auto run = run_targets();
+    return run.size() < m_route->max_attempts || std::find(run.begin(), run.end(), id) != run.end();
+}
+
 std::vector<std::string> proxied_request::tried_targets() const {
     std::vector<std::string> ids;
     for (const auto& tried : m_tried) {
@@ -152,7 +173,7 @@
     facts.is_quarantined = is_quarantined();
     const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
     facts.has_target = std::any_of(candidates.begin(), candidates.end(), [this](const auto& candidate) {
-        return !is_excluded(candidate.record->id);
+        return !is_excluded(candidate.record->id) && has_attempt_left_at(candidate.record->id);
     });
     return facts;
 }
@@ -160,9 +181,6 @@
 bool proxied_request::can_fail_over() {
     auto facts = facts_of(attempt_end::silent);
     ++facts.runs;
-    if (facts.runs >= facts.max_attempts && !facts.has_copy) {
-        return false;
-    }
     facts.has_budget =
         can_spend_retry(m_traffic.retries[m_service_name], retry_share(m_traffic), m_traffic.timers.now());
     return is_send(plan_next_step(facts));
--- a/src/traffic/proxied_placement.cpp
+++ b/src/traffic/proxied_placement.cpp
@@ -33,7 +33,14 @@
 }
 
 const target_record* proxied_request::choose_target_among(const std::vector<target_candidate>& candidates,
-                                                          const placement& want) {
+                                                          placement want) {
+    std::vector<std::string> used_up;
+    for (const auto& candidate : candidates) {
+        if (!has_attempt_left_at(candidate.record->id)) {
+            used_up.push_back(candidate.record->id);
+        }
+    }
+    want.excluded.insert(want.excluded.end(), used_up.begin(), used_up.end());
     const auto keeper = std::find_if(candidates.begin(), candidates.end(), [this](const auto& candidate) {
         return candidate.record->id == m_prompt_search.target_id;
     });
@@ -46,9 +53,9 @@
     auto chosen = choose_target_for_run(candidates, want, m_traffic.random);
     if (!chosen) {
         // Targets that were tried before are used again if no other is left.
-        auto again = want;
-        again.excluded = excluded_targets();
-        chosen = choose_target_for_run(candidates, again, m_traffic.random);
+        want.excluded = excluded_targets();
+        want.excluded.insert(want.excluded.end(), used_up.begin(), used_up.end());
+        chosen = choose_target_for_run(candidates, want, m_traffic.random);
     }
     return chosen ? candidates[*chosen].record : nullptr;
 }
--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -593,6 +593,9 @@
     first->events.on_body(fake_gateway::event(1) + test.tail);
     first->events.on_end();
     CHECK(gateway.caller.is_finished == test.is_complete);
+    // Its target may go on with it until its deadline.
+    gateway.advance(milliseconds(20'000));
+    CHECK(gateway.caller.is_finished == test.is_complete);
     CHECK(gateway.caller.is_aborted == !test.is_complete);
     CHECK(gateway.caller.body == fake_gateway::event(1) + (test.is_complete ? test.tail : ""));
 }
--- a/tests/unit/silent_run_test.cpp
+++ b/tests/unit/silent_run_test.cpp
@@ -57,6 +57,25 @@
     apply_view(gateway.traffic, view_with_targets(gateway, {}));
 }
 
+void remove_target(fake_gateway& gateway, const std::string& id) {
+    auto targets = gateway.traffic.view->targets->at("service");
+    targets.erase(std::remove_if(targets.begin(), targets.end(),
+                                 [&id](const target_record& target) { return target.id == id; }),
+                  targets.end());
+    apply_view(gateway.traffic, view_with_targets(gateway, std::move(targets)));
+}
+
+// Lets the engines keep no standby copies.
+void remove_copies(fake_gateway& gateway) {
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    auto table = std::make_shared<route_table>(*view->table);
+    table->services["service"].engine->sends_copies = false;
+    index_routes(*table);
+    view->table = table;
+    ++view->sequence;
+    apply_view(gateway.traffic, view);
+}
+
 // Sends the head and events of a stream to the caller.
 void begin_stream(fake_attempt& attempt, int first, int last) {
     attempt.events.on_head(fake_gateway::head(200));
@@ -327,6 +346,66 @@
     CHECK(gateway.caller.is_finished);
 }
 
+enum class last_loss : std::uint8_t { broken, silent };
+
+struct used_up_case {
+    const char* name;
+    last_loss loss;
+    /// Whether the entry of the first target is removed, which no longer counts then.
+    bool is_first_removed;
+    /// Whether the stream goes on, and whether at a target that has not run it.
+    bool is_continued;
+    bool is_new_target;
+    /// Whether the entry of the second target is removed too, and no third target is there.
+    bool has_other_targets;
+};
+
+// Guards against a stream that is broken off with time left because its runs have used up the attempts, and
+// against runs at more targets than the route allows.
+TEST_CASE("a stream whose attempts are used up goes on at targets that have run it") {
+    const auto test = GENERATE(from_range(std::vector<used_up_case>{
+        {"broken", last_loss::broken, false, true, false, true},
+        {"silent", last_loss::silent, false, true, false, true},
+        {"a target is gone", last_loss::broken, true, true, true, true},
+        {"all targets are gone", last_loss::broken, true, false, false, false},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 2, 3);
+    remove_copies(gateway);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    begin_stream(*first, 1, 3);
+    first->events.on_failure(attempt_end::broken, "scripted");
+    REQUIRE(gateway.attempts.size() == 2);
+    const auto second = gateway.attempts[1];
+    begin_stream(*second, 4, 6);
+    const std::vector<std::string> run{first->options.target_id, second->options.target_id};
+    if (!test.has_other_targets) {
+        remove_targets(gateway);
+    } else if (test.is_first_removed) {
+        remove_target(gateway, run[0]);
+    }
+    if (test.loss == last_loss::broken) {
+        second->events.on_failure(attempt_end::broken, "scripted");
+    }
+    CHECK_FALSE(gateway.caller.is_aborted);
+    advance_until_attempt(gateway, 3);
+    REQUIRE(gateway.attempts.size() == (test.is_continued ? 3 : 2));
+    if (test.is_continued) {
+        const auto third = gateway.attempts[2];
+        CHECK((std::find(run.begin(), run.end(), third->options.target_id) == run.end()) ==
+              test.is_new_target);
+        CHECK(third->options.last_event_id == "6");
+        begin_stream(*third, 7, 9);
+        third->events.on_end();
+        CHECK(gateway.caller.body == events(1, 9));
+    }
+    CHECK(gateway.caller.is_finished == test.is_continued);
+    gateway.advance(milliseconds(21'000));
+    CHECK(gateway.caller.is_aborted == !test.is_continued);
+}
+
 struct broken_successor_case {
     const char* name;
     /// Whether the silent target answers before its successor breaks off.
