--- a/src/traffic/proxied_failover.cpp
+++ b/src/traffic/proxied_failover.cpp
@@ -94,7 +94,8 @@
 // The route limits the number of targets that run a request, so one that has run it may do so again.
 bool proxied_request::has_attempt_left_at(const std::string& id) const {
     const auto run = run_targets();
-    return run.size() < m_route->max_attempts || std::find(run.begin(), run.end(), id) != run.end();
+    return run.empty() || run.size() < m_route->max_attempts ||
+           std::find(run.begin(), run.end(), id) != run.end();
 }
 
 std::vector<std::string> proxied_request::tried_targets() const {
