--- a/src/traffic/proxied_stall.cpp
+++ b/src/traffic/proxied_stall.cpp
@@ -75,6 +75,10 @@
     const auto facts = stall_state_of(*m_attempt);
     auto decision = decide_stall_step(facts);
     if (decision.step == stall_step::give_up) {
+        if (m_superseded && !m_superseded->deferred_events.empty()) {
+            reinstate_attempt("its successor fell silent");
+            return;
+        }
         if (can_fail_over()) {
             const auto state = facts.status ? facts.status->state : run_state::not_told;
             supersede_attempt("silent for " + to_ms(facts.silence) + " ms, run state " +
--- a/tests/unit/silent_run_test.cpp
+++ b/tests/unit/silent_run_test.cpp
@@ -408,15 +408,19 @@
 
 struct broken_successor_case {
     const char* name;
-    /// Whether the silent target answers before its successor breaks off.
+    /// Whether the silent target answers before its successor's answer ends.
     bool answers_before;
+    /// Whether the successor falls silent; it breaks off otherwise.
+    bool is_silent;
 };
 
 // Guards against a read that fails although its silent target is sound, because the answer of its successor
-// breaks off after its head.
-TEST_CASE("a silent read outlasts an answer of its successor that breaks off") {
-    const auto test = GENERATE(from_range(
-        std::vector<broken_successor_case>{{"before the break", true}, {"after the break", false}}));
+// is not completed.
+TEST_CASE("a silent read outlasts an answer of its successor that is not completed") {
+    const auto test =
+        GENERATE(from_range(std::vector<broken_successor_case>{{"before the break", true, false},
+                                                               {"after the break", false, false},
+                                                               {"before the silence", true, true}}));
     CAPTURE(test.name);
     fake_gateway gateway;
     gateway.publish(request_kind::idempotent, 2, 2);
@@ -436,7 +440,11 @@
     if (test.answers_before) {
         answer();
     }
-    successor->events.on_failure(attempt_end::broken, "scripted");
+    if (test.is_silent) {
+        gateway.advance(milliseconds(10'000));
+    } else {
+        successor->events.on_failure(attempt_end::broken, "scripted");
+    }
     if (!test.answers_before) {
         answer();
     }
