--- a/tests/unit/entry_service_test.cpp
+++ b/tests/unit/entry_service_test.cpp
@@ -252,6 +252,8 @@
         {"two losses in a row", {loss::failed, loss::connection}, 3},
         {"loss during the resume", {loss::connection, loss::connection}, 0},
         {"refused after a loss", {loss::failed, loss::busy, loss::gap}, 2},
+        {"refused after a silence", {loss::silence, loss::busy, loss::busy}, 2},
+        {"two silences, then refused", {loss::silence, loss::silence, loss::busy}, 2},
     }));
     CAPTURE(test.name);
     test_fleet fleet({"e1"}, {"a1", "a2", "a3", "a4"});
