--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -183,7 +183,7 @@
     void record_try(const std::string& id, attempt_end end);
     bool is_excluded(const std::string& id) const;
     std::vector<std::string> run_targets() const;
-    bool has_attempt_left_at(const std::string& id) const;
+    std::vector<std::string> targets_beyond_limit(const std::vector<target_candidate>& candidates) const;
     std::vector<std::string> excluded_targets() const;
     std::vector<std::string> tried_targets() const;
     attempt take_attempt();
--- a/src/traffic/proxied_failover.cpp
+++ b/src/traffic/proxied_failover.cpp
@@ -91,11 +91,22 @@
     return ids;
 }
 
-// The route limits the number of targets that run a request, so one that has run it may do so again.
-bool proxied_request::has_attempt_left_at(const std::string& id) const {
+// Returns the ids of the candidates that may not run the request because of the route's limit. It bounds the
+// number of targets that run a request, so those that have run it may do so again.
+std::vector<std::string>
+proxied_request::targets_beyond_limit(const std::vector<target_candidate>& candidates) const {
+    std::vector<std::string> ids;
     const auto run = run_targets();
-    return run.empty() || run.size() < m_route->max_attempts ||
-           std::find(run.begin(), run.end(), id) != run.end();
+    if (run.empty() || run.size() < m_route->max_attempts) {
+        return ids;
+    }
+    for (const auto& candidate : candidates) {
+        const auto& id = candidate.record->id;
+        if (std::find(run.begin(), run.end(), id) == run.end()) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
 }
 
 std::vector<std::string> proxied_request::tried_targets() const {
@@ -173,8 +184,10 @@
     }
     facts.is_quarantined = is_quarantined();
     const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
-    facts.has_target = std::any_of(candidates.begin(), candidates.end(), [this](const auto& candidate) {
-        return !is_excluded(candidate.record->id) && has_attempt_left_at(candidate.record->id);
+    const auto beyond = targets_beyond_limit(candidates);
+    facts.has_target = std::any_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
+        const auto& id = candidate.record->id;
+        return !is_excluded(id) && std::find(beyond.begin(), beyond.end(), id) == beyond.end();
     });
     return facts;
 }
--- a/src/traffic/proxied_placement.cpp
+++ b/src/traffic/proxied_placement.cpp
@@ -34,13 +34,8 @@
 
 const target_record* proxied_request::choose_target_among(const std::vector<target_candidate>& candidates,
                                                           placement want) {
-    std::vector<std::string> used_up;
-    for (const auto& candidate : candidates) {
-        if (!has_attempt_left_at(candidate.record->id)) {
-            used_up.push_back(candidate.record->id);
-        }
-    }
-    want.excluded.insert(want.excluded.end(), used_up.begin(), used_up.end());
+    const auto beyond = targets_beyond_limit(candidates);
+    want.excluded.insert(want.excluded.end(), beyond.begin(), beyond.end());
     const auto keeper = std::find_if(candidates.begin(), candidates.end(), [this](const auto& candidate) {
         return candidate.record->id == m_prompt_search.target_id;
     });
@@ -54,7 +49,7 @@
     if (!chosen) {
         // Targets that were tried before are used again if no other is left.
         want.excluded = excluded_targets();
-        want.excluded.insert(want.excluded.end(), used_up.begin(), used_up.end());
+        want.excluded.insert(want.excluded.end(), beyond.begin(), beyond.end());
         chosen = choose_target_for_run(candidates, want, m_traffic.random);
     }
     return chosen ? candidates[*chosen].record : nullptr;
