--- a/tests/unit/silent_run_test.cpp
+++ b/tests/unit/silent_run_test.cpp
@@ -356,7 +356,7 @@
     /// Whether the stream goes on, and whether at a target that has not run it.
     bool is_continued;
     bool is_new_target;
-    /// Whether the entry of the second target is removed too, and no third target is there.
+    /// Whether any target is left.
     bool has_other_targets;
 };
 
