--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -301,6 +301,7 @@
 }
 
 void caller_session::reply_encoded(const encoded_answer& answer) {
+    m_is_refused_early = m_phase == session_phase::reading;
     m_keeps_alive = m_keeps_alive && !m_host.is_draining;
     std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + answer.reason + "\r\n";
     for (const auto& [name, value] : answer.fields) {
@@ -450,7 +451,8 @@
 }
 
 bool caller_session::is_busy() const {
-    return is_request_parsed() || is_sending() || (m_phase == session_phase::reading && m_has_request_bytes);
+    return is_request_parsed() || is_sending() || (m_phase == session_phase::reading && m_has_request_bytes) ||
+           (m_phase == session_phase::lingering && m_is_refused_early);
 }
 
 void caller_session::refuse_half_read() {
--- a/src/adapters/gateway/caller_session.h
+++ b/src/adapters/gateway/caller_session.h
@@ -43,7 +43,8 @@
     void close_if_idle();
     /// Refuses a request of which only a part has arrived, as not run.
     void refuse_half_read();
-    /// Whether a request is being read or served, or an answer is being sent.
+    /// Whether a request is being read or served, an answer is being sent, or the caller may still be sending
+    /// a request that was refused before it had arrived whole.
     bool is_busy() const;
 
 private:
@@ -105,6 +106,8 @@
     bool m_is_head_request = false;
     bool m_is_chunked = false;
     bool m_is_answered = false;
+    /// Whether the request was refused before it had arrived whole.
+    bool m_is_refused_early = false;
     bool m_closes_after_write = false;
     bool m_is_writing = false;
     std::string m_pending;
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -530,6 +530,28 @@
     check(await asyncio.wait_for(gateway.process.wait(), 5.0) == 0, "exit code")
 
 
+async def planned_stop_lets_slow_callers_read_their_refusal(f):
+    """Guards against a stop that resets the connection of a caller whose half-sent request was refused at the end of the
+    grace period, while the caller still sends."""
+    gateway = f.gateways[0]
+    reader, writer = await asyncio.open_connection("127.0.0.1", f.port)
+    writer.write(b"POST /publish/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: slow-caller\r\nDeadline-Ms: 9000\r\n"
+                 b"Authorization: Bearer key-1\r\nContent-Length: 30000\r\n\r\n")
+    await asyncio.sleep(0.1)
+    gateway.signal(signal.SIGTERM)
+    answer = asyncio.create_task(read_head(reader))
+    sent_after_refusal = 0
+    while sent_after_refusal < 10:
+        writer.write(b"x" * 8)
+        await writer.drain()
+        sent_after_refusal += answer.done()
+        await asyncio.sleep(0.01)
+    status, headers = await answer
+    check(status == 503 and headers.get("connection") == "close", f"status {status}, {headers}")
+    writer.close()
+    check(await asyncio.wait_for(gateway.process.wait(), 2.0) == 0, "exit code")
+
+
 async def killed_process_serves_again(f):
     """Guards against a restart that needs more state than the store has."""
     await f.gateways[0].stop()
@@ -796,6 +818,7 @@
          draining_server_gets_no_new_work, restarted_server_is_found, revoked_key_is_closed,
          lost_store_closes_keys, forgotten_history_is_read_again, planned_stop_cuts_nothing,
          planned_stop_waits_for_slow_callers, planned_stop_answers_what_it_cannot_finish,
+         planned_stop_lets_slow_callers_read_their_refusal,
          killed_process_serves_again, nothing_withdrawn_returns_after_a_restart, stopped_work_of_gone_callers,
          good_version_is_moved_to, version_is_taken_back_if_it_may_be_too_many, bad_version_is_taken_back,
          restored_store_reaches_the_revision_of_a_paused_gateway, draining_outlasts_a_restoration,
