--- a/tests/platform/gateway.py
+++ b/tests/platform/gateway.py
@@ -139,21 +139,21 @@
     return f"answer to {request_id}".encode()
 
 
-async def call(port, kind, key="key-1", on_event=None, timeout_s=12.0, path=None, prompt=None):
+async def call(port, kind, key="key-1", on_event=None, timeout_s=12.0, path=None, prompt=None, body=b"x" * 300):
     """Sends one request on a new connection and reads the response to its end. Connection errors are returned in the outcome."""
     outcome = Outcome(f"r{os.getpid():x}-{next(REQUEST_IDS)}-{random.getrandbits(32):x}", kind)
     try:
-        await asyncio.wait_for(exchange(port, kind, key, on_event, outcome, path, prompt), timeout_s)
+        await asyncio.wait_for(exchange(port, kind, key, on_event, outcome, path, prompt, body), timeout_s)
     except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as failure:
         outcome.detail = f"{type(failure).__name__}: {failure}"
     return outcome
 
 
-async def exchange(port, kind, key, on_event, outcome, path, prompt):
+async def exchange(port, kind, key, on_event, outcome, path, prompt, body):
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     try:
         method = "GET" if kind == "read" else "POST"
-        body = b"" if kind == "read" else b"x" * 300
+        body = b"" if kind == "read" else body
         tokens = "Token-Count: 800,280\r\nModel: m\r\n" if kind == "stream" else ""
         tokens += f"Prompt-Prefix: {prompt}\r\n" if prompt else ""
         writer.write(f"{method} {path or f'/{kind}/x'} HTTP/1.1\r\nHost: h.example\r\n"
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -811,6 +811,44 @@
         check(not any(outcome.request_id in e.runs for e in f.world.engines), "a quarantined prompt was run")
 
 
+CONTACT_S = 3.0  # time after the third crash from which on a request that crashes servers is bounded
+MAX_LATE_SENDS = 3
+
+
+def make_deadly_request_case(name, kind, restarts_gateways):
+    """Guards against a request that ends server after server, at all gateways and also after all of them have restarted, and
+    against refusing sound requests beside it."""
+
+    async def case(f):
+        f.world.deadly_path = f"/{kind}/deadly"
+        deadly, is_restarted = [], False
+        end = time.monotonic() + 12.0
+        while time.monotonic() < end:
+            for gateway in f.gateways:
+                deadly.append(await call(gateway.port, kind, path=f.world.deadly_path))
+                await asyncio.gather(*[call(gateway.port, "read", path=f"/read/{n}") for n in range(3)])
+            if restarts_gateways and not is_restarted and len(f.world.crashes) >= 3:
+                is_restarted = True
+                await asyncio.sleep(0.5)
+                await asyncio.gather(*[gateway.stop() for gateway in f.gateways])
+                await asyncio.gather(*[gateway.start() for gateway in f.gateways])
+            await asyncio.sleep(0.1)
+        check(len(f.world.crashes) >= 3, f"only {len(f.world.crashes)} servers ended")
+        check(is_restarted == restarts_gateways, "the gateways were not restarted")
+        third = f.world.crashes[2]
+        late = [at for at in f.world.crashes if at > third + CONTACT_S]
+        check(third + CONTACT_S < end - 1.0, "the third server ended too late to tell")
+        check(len(late) <= MAX_LATE_SENDS, f"{len(late)} servers ended later")
+        refused = [outcome for outcome in deadly if outcome.status == 503]
+        check(refused and "retry-after" not in refused[-1].headers, "a deadly request was not refused for good")
+        for gateway in f.gateways:
+            for outcome in await asyncio.gather(*[call(gateway.port, "read") for _ in range(5)]):
+                check_complete(outcome)
+
+    case.__name__, case.__doc__ = name, make_deadly_request_case.__doc__
+    return case
+
+
 CASES = [serves_each_kind, stream_lives_through_a_crash, stream_lives_through_silence, publish_runs_once,
          read_is_repeated_once, leaving_server_gets_no_new_work, half_of_the_engines_leave_under_load,
          paused_server_gets_no_requests, requests_in_flight_when_a_pause_begins, requests_wait_for_a_short_pause,
@@ -835,6 +873,9 @@
           read_outlasts_silence_beside_refusals]
 # Listed in KNOWN-RED.txt; run only by name.
 KNOWN_RED = [make_withdrawn_key_case("withdrawn_key_outlasts_a_restoration_without_seeds", 0)]
+KNOWN_RED += [make_deadly_request_case("deadly_read_is_kept_from_servers", "read", restarts_gateways=False),
+              make_deadly_request_case("deadly_publication_is_kept_from_servers", "publish", restarts_gateways=False),
+              make_deadly_request_case("deadly_publication_is_refused_after_a_restart", "publish", restarts_gateways=True)]
 
 
 async def run_case(binary, case):
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -15,6 +15,7 @@
 EVENT_S = 0.015  # interval between events
 PREFILL_S = 0.08  # prefill time of a prompt
 DEADLY_PREFILL_S = 0.6  # time after which an engine closes the connection of a prompt with the deadly part
+RESTART_S = 1.5  # time after which a server that crashed is back
 COPY_S = 0.05  # interval between updates of a standby copy
 HISTORY_EVENTS = 4096  # changes that the store keeps in its history
 
@@ -343,6 +344,11 @@
             writer.write(refusal)
             return True
         self.record_run(request)
+        if self.world.deadly_path and request.path == self.world.deadly_path:
+            await asyncio.sleep(self.work_s)
+            self.world.crash(self)
+            await asyncio.sleep(RESTART_S)
+            return False
         if self.endless:
             start, block = ENDLESS[self.endless]
             fields = "".join(f"{k}: {v}\r\n" for k, v in self.reply_headers(request))
@@ -453,6 +459,9 @@
         self.limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 15000}
         self.keys = ["key-1", "key-2"]
         self.deadly_part = ""  # id of a prompt part at which engines fail
+        self.deadly_path = ""  # path of the requests that end the plain servers which run them
+        self.crashes = []  # time.monotonic() of each server that ended so
+        self.restarts = set()
         self.keys_seen, self.tenants_seen = set(), set()
 
     @property
@@ -474,6 +483,19 @@
         states = [json.loads(v)["State"] for k, v in self.store.writes if k == "status/rollout/app"]
         return [s for i, s in enumerate(states) if i == 0 or states[i - 1] != s]
 
+    def crash(self, server):
+        """Ends a server, which is back under another id after `RESTART_S`."""
+        self.crashes.append(time.monotonic())
+
+        async def restart():
+            await server.stop()
+            await asyncio.sleep(RESTART_S)
+            await server.restart()
+
+        task = asyncio.create_task(restart())
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
     def engine_at(self, address):
         return next((e for e in self.engines if e.address == address), None)
 
@@ -505,6 +527,8 @@
         self.configure()
 
     async def stop(self):
+        for task in list(self.restarts):
+            task.cancel()
         for server in self.targets + [self.store]:
             server.freeze(False)
             await server.stop()
