--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -316,7 +316,11 @@
     const auto received = fixture.received();
     CHECK(received.find("HTTP/1.1 503") == 0);
     CHECK(received.find("Connection: close") != std::string::npos);
+    // The process stays until the caller, who may still send, has had time to read the refusal.
+    CHECK(fixture.server().busy_connections() == 1);
+    fixture.run(milliseconds(1'100));
     CHECK(fixture.server().busy_connections() == 0);
+    CHECK(fixture.server().connections() == 0);
 }
 
 struct body_case {
