--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -4,6 +4,7 @@
 #include "lovage/core/attempt_plan.h"
 #include "lovage/core/event_splitter.h"
 #include "lovage/core/pending_reads.h"
+#include "lovage/core/request_fingerprint.h"
 #include "lovage/core/route_table.h"
 #include "lovage/core/stall_plan.h"
 #include "lovage/core/stream_stall.h"
@@ -225,6 +226,7 @@
     std::string m_service_name;
     std::string m_organisation;
     std::int64_t m_queue_rank = 0;
+    request_fingerprint m_fingerprint = 0;
     version_side m_side = version_side::usual;
     time_point m_deadline{};
     std::optional<attempt> m_attempt;
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -81,6 +81,9 @@
                                                      m_service_name);
         return;
     }
+    const auto& forwarded = *m_request.forwarded;
+    m_fingerprint =
+        fingerprint_of({m_request.host, forwarded.method, forwarded.target, m_organisation, forwarded.body});
     if (is_quarantined()) {
         refuse(error_kind::prompt_quarantined, k_quarantined_detail);
         return;
@@ -321,6 +324,7 @@
     m_traffic.sink.log(
         level, event,
         {{"request", m_request.forwarded->id},
+         {"fingerprint", format_fingerprint(m_fingerprint)},
          {"route", m_route != nullptr ? m_route->name : ""},
          {"service", m_service_name},
          {"outcome", outcome},
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -125,6 +125,10 @@
         forwarded->method = "POST";
         forwarded->target = std::move(target);
         forwarded->id = "id";
+        // Requests with other prompts have other bodies.
+        for (const auto& part : prompt) {
+            forwarded->body += part.id + " ";
+        }
         caller_request received;
         received.forwarded = forwarded;
         received.host = "host";
