--- a/include/lovage/core/error_kind.h
+++ b/include/lovage/core/error_kind.h
@@ -41,10 +41,14 @@
     outcome_late,
     /// The prompt contains parts that have crashed several engines.
     prompt_quarantined,
+    /// The request has crashed as many targets as the service can spare at the moment.
+    request_suspected,
+    /// The request has crashed several targets.
+    request_quarantined,
     internal,
 };
 
-inline constexpr std::size_t k_error_kind_count = 30;
+inline constexpr std::size_t k_error_kind_count = 32;
 
 inline constexpr enum_names<k_error_kind_count> k_error_kind_names{
     "invalid_request",
@@ -76,6 +80,8 @@
     "history_lost",
     "outcome_late",
     "prompt_quarantined",
+    "request_suspected",
+    "request_quarantined",
     "internal",
 };
 static_assert(static_cast<std::size_t>(error_kind::internal) + 1 == k_error_kind_count);
--- a/include/lovage/core/peer_report.h
+++ b/include/lovage/core/peer_report.h
@@ -55,6 +55,21 @@
     milliseconds age{0};
 };
 
+/// A `request_loss` that the sender knows of; `age` is the time since then.
+struct peer_request_loss {
+    std::uint64_t request = 0;
+    std::string target_id;
+    std::uint64_t target_started_ms = 0;
+    bool is_withdrawn = false;
+    milliseconds age{0};
+};
+
+/// A `request_success` that the sender knows of; `age` is the time since then.
+struct peer_request_success {
+    std::uint64_t request = 0;
+    milliseconds age{0};
+};
+
 /// Report that each process sends to the others. Delivery is best effort; correctness doesn't depend on it.
 struct peer_report {
     std::string node;
@@ -77,6 +92,8 @@
     std::vector<std::string> vetoes;
     std::vector<peer_prompt_crash> crashes;
     std::vector<peer_part_success> successes;
+    std::vector<peer_request_loss> request_losses;
+    std::vector<peer_request_success> request_successes;
     /// Addresses of other processes from which the sender receives reports.
     std::vector<std::string> peers;
 };
--- a/include/lovage/core/prompt_quarantine.h
+++ b/include/lovage/core/prompt_quarantine.h
@@ -36,13 +36,17 @@
     time_point at{};
 };
 
-/// Parts that are quarantined together for one service, as the store keeps them beyond the processes.
+/// Prompt parts that are quarantined together for one service, or a quarantined request, as the store keeps
+/// them beyond the processes.
 struct quarantine_record {
     std::string service;
+    /// Empty for a request.
     std::vector<std::string> parts;
+    /// Fingerprint of the request; 0 for parts.
+    std::uint64_t request = 0;
 
     friend bool operator==(const quarantine_record& a, const quarantine_record& b) {
-        return a.service == b.service && a.parts == b.parts;
+        return a.service == b.service && a.parts == b.parts && a.request == b.request;
     }
 };
 
--- a/include/lovage/traffic/gateway_traffic.h
+++ b/include/lovage/traffic/gateway_traffic.h
@@ -3,6 +3,7 @@
 #include "lovage/control/gateway_view.h"
 #include "lovage/core/log_level.h"
 #include "lovage/core/prompt_quarantine.h"
+#include "lovage/core/request_quarantine.h"
 #include "lovage/core/retry_window.h"
 #include "lovage/core/shutdown_plan.h"
 #include "lovage/core/target_choice.h"
@@ -79,8 +80,9 @@
     std::map<std::pair<std::string, std::string>, zone_failures> zones;
     peer_exchange peers;
     prompt_quarantine quarantine;
-    /// Called with parts that a crash at this process has quarantined, to keep them beyond a restart of all
-    /// processes; null function for none.
+    request_quarantine lost_requests;
+    /// Called with the parts or the request that a loss at this process has quarantined, to keep them beyond
+    /// a restart of all processes; null function for none.
     std::function<void(quarantine_record)> on_quarantine;
     version_observer versions;
     /// When the process started, on `boot_clock`.
@@ -109,6 +111,9 @@
 const target_record* find_ready_target(const gateway_traffic& traffic, const std::string& service,
                                        const std::string& id);
 
+/// Returns the registered targets of a service.
+const target_list& targets_of(const gateway_traffic& traffic, const std::string& service);
+
 /// Whether a target has an entry in the view, also one that accepts no new work.
 bool is_known_target(const gateway_traffic& traffic, const std::string& service, const std::string& id);
 
--- a/include/lovage/traffic/proxied_request.h
+++ b/include/lovage/traffic/proxied_request.h
@@ -4,7 +4,7 @@
 #include "lovage/core/attempt_plan.h"
 #include "lovage/core/event_splitter.h"
 #include "lovage/core/pending_reads.h"
-#include "lovage/core/request_fingerprint.h"
+#include "lovage/core/request_quarantine.h"
 #include "lovage/core/route_table.h"
 #include "lovage/core/stall_plan.h"
 #include "lovage/core/stream_stall.h"
@@ -125,6 +125,12 @@
         bool may_have_run = false;
     };
 
+    // Why the request may not be sent to any target.
+    struct refusal {
+        error_kind kind = error_kind::internal;
+        std::string detail;
+    };
+
     struct step_choice {
         next_step step = next_step::break_off;
         /// False if the retry budget was too small for a send.
@@ -147,13 +153,14 @@
     void wait_for_turn(milliseconds patience);
     void refuse_waiting();
     bool may_start() const;
-    bool is_quarantined() const;
+    std::optional<refusal> find_quarantine() const;
     bool has_previous_answer() const;
     void find_cached_prompt();
     void handle_cached_parts(const std::string& target_id, const std::vector<prompt_part>& cached);
     placement placement_among(const std::vector<target_candidate>& candidates);
     const target_record* choose_target_among(const std::vector<target_candidate>& candidates, placement want);
     void send(bool from_copy);
+    void begin_trial();
     attempt_events events_of(std::uint32_t number);
     bool is_current(std::uint32_t number) const;
     bool is_superseded(std::uint32_t number) const;
@@ -171,6 +178,7 @@
     void handle_end();
     void watch_first_event();
     void observe_event();
+    void record_survival();
     observed_answer observed(const attempt& current) const;
     void end_attempt(attempt_end end, const std::string& detail);
     void supersede_attempt(const std::string& detail);
@@ -227,6 +235,8 @@
     std::string m_organisation;
     std::int64_t m_queue_rank = 0;
     request_fingerprint m_fingerprint = 0;
+    /// Whether it was sent although it is suspected or quarantined, to try it once more.
+    bool m_is_trial = false;
     version_side m_side = version_side::usual;
     time_point m_deadline{};
     std::optional<attempt> m_attempt;
--- a/src/adapters/base/quarantine_codec.cpp
+++ b/src/adapters/base/quarantine_codec.cpp
@@ -8,17 +8,23 @@
 using nlohmann::json;
 
 std::string encode_quarantine_record(const quarantine_record& record) {
-    const json value = {{"service", record.service}, {"parts", record.parts}};
+    json value = {{"service", record.service}, {"parts", record.parts}};
+    if (record.request != 0) {
+        value["request"] = record.request;
+    }
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 result<quarantine_record> decode_quarantine_record(const std::string& value) {
     try {
         const json source = json::parse(value);
+        // Processes of earlier versions write no request.
         quarantine_record record{source.at("service").get<std::string>(),
-                                 source.at("parts").get<std::vector<std::string>>()};
-        if (record.parts.empty()) {
-            return fail(error_kind::protocol_error, "a record of quarantined prompt parts names none");
+                                 source.at("parts").get<std::vector<std::string>>(),
+                                 source.value("request", std::uint64_t{0})};
+        if (record.parts.empty() == (record.request == 0)) {
+            return fail(error_kind::protocol_error,
+                        "a quarantine record names neither or both of prompt parts and a request");
         }
         return record;
     } catch (const json::exception& failure) {
--- a/src/adapters/gateway/peer_report_udp.cpp
+++ b/src/adapters/gateway/peer_report_udp.cpp
@@ -88,6 +88,24 @@
     return {row.at(0).get<std::string>(), milliseconds(row.at(1).get<milliseconds::rep>())};
 }
 
+json to_json(const peer_request_loss& loss) {
+    return json::array(
+        {loss.request, loss.target_id, loss.target_started_ms, loss.is_withdrawn, loss.age.count()});
+}
+
+json to_json(const peer_request_success& success) {
+    return json::array({success.request, success.age.count()});
+}
+
+peer_request_loss request_loss_of(const json& row) {
+    return {row.at(0).get<std::uint64_t>(), row.at(1).get<std::string>(), row.at(2).get<std::uint64_t>(),
+            row.at(3).get<bool>(), milliseconds(row.at(4).get<milliseconds::rep>())};
+}
+
+peer_request_success request_success_of(const json& row) {
+    return {row.at(0).get<std::uint64_t>(), milliseconds(row.at(1).get<milliseconds::rep>())};
+}
+
 template <class Items>
 json to_list(const Items& items) {
     auto list = json::array();
@@ -108,6 +126,10 @@
         document["c"] = to_list(report.crashes);
         document["o"] = to_list(report.successes);
     }
+    if (!report.request_losses.empty()) {
+        document["x"] = to_list(report.request_losses);
+        document["y"] = to_list(report.request_successes);
+    }
     if (!report.leaving_targets.empty()) {
         document["g"] = to_list(report.leaving_targets);
     }
@@ -139,7 +161,10 @@
         const auto crashes = document.value("c", json::array());
         const auto successes = document.value("o", json::array());
         const auto leaving = document.value("g", json::array());
-        if (leaving.size() > k_max_entries || crashes.size() > k_max_entries ||
+        const auto request_losses = document.value("x", json::array());
+        const auto request_successes = document.value("y", json::array());
+        if (leaving.size() > k_max_entries || request_losses.size() > k_max_entries ||
+            request_successes.size() > k_max_entries || crashes.size() > k_max_entries ||
             successes.size() > k_max_entries || usage.size() > k_max_entries ||
             target_failures.size() > k_max_entries || evidence.size() > k_max_entries ||
             report.vetoes.size() > k_max_entries || report.peers.size() > k_max_entries) {
@@ -153,6 +178,10 @@
         std::transform(evidence.begin(), evidence.end(), std::back_inserter(report.evidence), evidence_of);
         std::transform(crashes.begin(), crashes.end(), std::back_inserter(report.crashes), crash_of);
         std::transform(successes.begin(), successes.end(), std::back_inserter(report.successes), success_of);
+        std::transform(request_losses.begin(), request_losses.end(),
+                       std::back_inserter(report.request_losses), request_loss_of);
+        std::transform(request_successes.begin(), request_successes.end(),
+                       std::back_inserter(report.request_successes), request_success_of);
         return report;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/core/error_kind.cpp
+++ b/src/core/error_kind.cpp
@@ -37,6 +37,8 @@
     {error_kind::history_lost, response_class::unavailable, false, true, 0},
     {error_kind::outcome_late, response_class::timed_out_unknown, false, false, 0},
     {error_kind::prompt_quarantined, response_class::unavailable, true, false, 0},
+    {error_kind::request_suspected, response_class::unavailable, true, true, 5'000},
+    {error_kind::request_quarantined, response_class::unavailable, true, false, 0},
     {error_kind::internal, response_class::failed, false, true, 1'000},
 }};
 
--- a/src/traffic/gateway_traffic.cpp
+++ b/src/traffic/gateway_traffic.cpp
@@ -16,15 +16,6 @@
 // For this long after its start a process serves by no older configuration than its peers.
 constexpr milliseconds k_start_period{5'000};
 
-const target_list& targets_of(const gateway_traffic& traffic, const std::string& service) {
-    static const target_list k_none;
-    if (!traffic.view->targets) {
-        return k_none;
-    }
-    const auto found = traffic.view->targets->find(service);
-    return found != traffic.view->targets->end() ? found->second : k_none;
-}
-
 const target_record* find_in(const target_list& list, const std::string& id) {
     const auto target = std::find_if(list.begin(), list.end(),
                                      [&id](const target_record& record) { return record.id == id; });
@@ -138,8 +129,26 @@
     }
 }
 
+void restore_record(gateway_traffic& traffic, const quarantine_record& record) {
+    const auto now = traffic.timers.now();
+    if (record.request != 0) {
+        restore_quarantined_request(traffic.lost_requests, record.request, now);
+    } else {
+        restore_quarantine(traffic.quarantine, record, now);
+    }
+}
+
 } // namespace
 
+const target_list& targets_of(const gateway_traffic& traffic, const std::string& service) {
+    static const target_list k_none;
+    if (!traffic.view->targets) {
+        return k_none;
+    }
+    const auto found = traffic.view->targets->find(service);
+    return found != traffic.view->targets->end() ? found->second : k_none;
+}
+
 void record_notices(gateway_traffic& traffic, const std::string& target_id, std::uint64_t started_ms,
                     const answer_head& head) {
     const bool has_invalid = head.has_invalid_leaving || head.has_invalid_pause;
@@ -329,7 +338,7 @@
     }
     for (const auto& [key, record] : traffic.view->quarantines) {
         if (before->quarantines.count(key) == 0) {
-            restore_quarantine(traffic.quarantine, record, traffic.timers.now());
+            restore_record(traffic, record);
         }
     }
     if (before->targets == traffic.view->targets || !before->targets) {
--- a/src/traffic/peer_exchange.cpp
+++ b/src/traffic/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include "lovage/core/report_plan.h"
 #include "lovage/traffic/gateway_traffic.h"
 #include "lovage/traffic/prompt_crashes.h"
+#include "lovage/traffic/request_losses.h"
 
 #include <algorithm>
 #include <iterator>
@@ -119,6 +120,7 @@
     }
     limit_items(traffic, report.vetoes, k_max_vetoes, "vetoes");
     add_prompt_crashes(traffic, report);
+    add_request_losses(traffic, report);
     report.peers = sample_addresses(traffic, address_limit);
     return report;
 }
@@ -296,6 +298,7 @@
         exchange.port.send(peer.report.address, make_report(traffic, k_max_welcome_peers));
     }
     apply_prompt_crashes(traffic, peer.report);
+    apply_request_losses(traffic, peer.report);
     for (const auto& leaving : peer.report.leaving_targets) {
         apply_peer_leaving(traffic, leaving, peer.report.node);
     }
--- a/src/traffic/proxied_answer.cpp
+++ b/src/traffic/proxied_answer.cpp
@@ -73,6 +73,8 @@
         return;
     }
     if (!head.is_other_target) {
+        withdraw_losses(m_traffic.lost_requests, current.target.id, current.target.started_ms,
+                        current.started, m_traffic.timers.now());
         record_notices(m_traffic, current.target.id, current.target.started_ms, head);
     }
     if (head.load) {
@@ -210,6 +212,7 @@
     }
     if (count == k_events_to_clear) {
         report_prompt_success(m_traffic, shared_parts(m_request.prompt));
+        record_survival();
     }
     if (count == k_gap_sample_events) {
         observe_gap(m_traffic, observed(current),
@@ -217,6 +220,11 @@
     }
 }
 
+// A target that has answered the request has survived it.
+void proxied_request::record_survival() {
+    record_request_success(m_traffic.lost_requests, m_fingerprint, m_traffic.timers.now());
+}
+
 void proxied_request::start_stream() {
     if (m_delivered == delivery_phase::nothing) {
         m_delivered = delivery_phase::events;
@@ -233,6 +241,9 @@
         return;
     }
     const bool is_failure = current.head.status >= 500;
+    if (!is_stream()) {
+        record_survival();
+    }
     if (is_failure && m_delivered == delivery_phase::nothing) {
         end_attempt(attempt_end::failed_answer, "status " + std::to_string(current.head.status));
         return;
@@ -258,6 +269,7 @@
                 (taken - m_traffic.mean_stream_duration) / k_stream_duration_samples;
             record_target_success(m_traffic.usage[current.target.id]);
             report_prompt_success(m_traffic, shared_parts(m_request.prompt));
+            record_survival();
         }
         if (!current.copy.name.empty()) {
             release_standby_copy(m_traffic, current.target, current.copy.name);
--- a/src/traffic/proxied_failover.cpp
+++ b/src/traffic/proxied_failover.cpp
@@ -2,6 +2,7 @@
 
 #include "lovage/traffic/prompt_crashes.h"
 #include "lovage/traffic/proxied_request.h"
+#include "lovage/traffic/request_losses.h"
 
 #include <algorithm>
 
@@ -47,6 +48,8 @@
 void proxied_request::record_crash_of(const attempt& ended) {
     if (ended.is_connection_lost && ended.event_count < k_events_to_clear) {
         report_prompt_crash(m_traffic, m_service_name, ended.target.id, shared_parts(m_request.prompt));
+        report_request_loss(m_traffic, m_service_name, ended.target, m_fingerprint);
+        m_is_trial = false;
     }
 }
 
@@ -182,7 +185,7 @@
         const auto* holder = find_ready_target(m_traffic, m_service_name, copy.target_id);
         facts.has_copy = holder != nullptr && m_traffic.usage[copy.target_id].avoid_until <= now;
     }
-    facts.is_quarantined = is_quarantined();
+    facts.is_quarantined = find_quarantine().has_value();
     const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
     const auto beyond = targets_beyond_limit(candidates);
     facts.has_target = std::any_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -3,6 +3,7 @@
 #include "lovage/core/engine_memory.h"
 #include "lovage/traffic/prompt_crashes.h"
 #include "lovage/traffic/proxied_request.h"
+#include "lovage/traffic/request_losses.h"
 
 #include <algorithm>
 
@@ -12,7 +13,11 @@
 
 // Retry delay that refused callers are given.
 constexpr milliseconds k_retry_after{200};
-constexpr const char* k_quarantined_detail = "the prompt has parts that crashed several engines";
+
+std::string verdict_detail(request_verdict verdict) {
+    return "the request is " + std::string(name_of(k_request_verdict_names, verdict)) +
+           ": targets were lost while they ran it";
+}
 
 } // namespace
 
@@ -84,8 +89,8 @@
     const auto& forwarded = *m_request.forwarded;
     m_fingerprint =
         fingerprint_of({m_request.host, forwarded.method, forwarded.target, m_organisation, forwarded.body});
-    if (is_quarantined()) {
-        refuse(error_kind::prompt_quarantined, k_quarantined_detail);
+    if (const auto found = find_quarantine()) {
+        refuse(found->kind, found->detail);
         return;
     }
     m_side = choose_version_side(m_traffic, m_service_name, m_route->name, m_request.forwarded->id);
@@ -114,15 +119,28 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - m_traffic.timers.now());
 }
 
-bool proxied_request::is_quarantined() const {
-    return !quarantined_parts(m_traffic.quarantine, m_service_name, shared_parts(m_request.prompt)).empty();
+std::optional<proxied_request::refusal> proxied_request::find_quarantine() const {
+    if (!quarantined_parts(m_traffic.quarantine, m_service_name, shared_parts(m_request.prompt)).empty()) {
+        return refusal{error_kind::prompt_quarantined, "the prompt has parts that crashed several engines"};
+    }
+    const auto permission = permission_to_run(m_traffic, m_service_name, m_fingerprint);
+    if (m_is_trial || permission.earliest <= m_traffic.timers.now()) {
+        return std::nullopt;
+    }
+    const bool is_quarantined = permission.verdict == request_verdict::quarantined;
+    if (!is_quarantined && m_delivered != delivery_phase::nothing) {
+        // An answer that has begun is not broken off on a suspicion.
+        return std::nullopt;
+    }
+    return refusal{is_quarantined ? error_kind::request_quarantined : error_kind::request_suspected,
+                   verdict_detail(permission.verdict)};
 }
 
 void proxied_request::send(bool from_copy) {
     refresh_view(m_traffic);
     // The request may have waited since its admission.
-    if (is_quarantined()) {
-        give_up(error_kind::prompt_quarantined, k_quarantined_detail);
+    if (const auto found = find_quarantine()) {
+        give_up(found->kind, found->detail);
         return;
     }
     const auto candidates = candidates_of(m_traffic, m_service_name, m_side);
@@ -139,6 +157,7 @@
         return;
     }
     log_end_of_pause(m_traffic, *record);
+    begin_trial();
     attempt next;
     next.number = ++m_attempts;
     ++m_sends;
@@ -181,6 +200,16 @@
     check_for_stall();
 }
 
+void proxied_request::begin_trial() {
+    const auto assessment = assess_request(m_traffic.lost_requests, m_fingerprint);
+    m_is_trial = assessment.verdict != request_verdict::clear;
+    if (m_is_trial) {
+        record_trial(m_traffic.lost_requests, m_fingerprint, m_traffic.timers.now());
+        log_step(log_level::info, "request_tried_again", verdict_detail(assessment.verdict),
+                 std::to_string(assessment.losses) + " targets were lost");
+    }
+}
+
 proxied_request::attempt proxied_request::take_attempt() {
     attempt taken = std::move(*m_attempt);
     m_attempt.reset();
@@ -253,6 +282,10 @@
         auto& admission = m_traffic.admission[m_service_name];
         return plan_return(admission.releases, admission.queue.size, m_traffic.timers.now());
     }
+    case error_kind::request_suspected: {
+        const auto earliest = permission_to_run(m_traffic, m_service_name, m_fingerprint).earliest;
+        return std::max(std::chrono::ceil<milliseconds>(earliest - m_traffic.timers.now()), k_retry_after);
+    }
     default:
         return k_retry_after;
     }
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -871,11 +871,11 @@
           make_silent_engine_case("stream_outlasts_silent_and_refusing_engines", 1, 4),
           make_silent_engine_case("stream_outlasts_silence_beside_unreachable_engines", 0, 0),
           read_outlasts_silence_beside_refusals]
+CASES += [make_deadly_request_case("deadly_read_is_kept_from_servers", "read", restarts_gateways=False),
+          make_deadly_request_case("deadly_publication_is_kept_from_servers", "publish", restarts_gateways=False),
+          make_deadly_request_case("deadly_publication_is_refused_after_a_restart", "publish", restarts_gateways=True)]
 # Listed in KNOWN-RED.txt; run only by name.
 KNOWN_RED = [make_withdrawn_key_case("withdrawn_key_outlasts_a_restoration_without_seeds", 0)]
-KNOWN_RED += [make_deadly_request_case("deadly_read_is_kept_from_servers", "read", restarts_gateways=False),
-              make_deadly_request_case("deadly_publication_is_kept_from_servers", "publish", restarts_gateways=False),
-              make_deadly_request_case("deadly_publication_is_refused_after_a_restart", "publish", restarts_gateways=True)]
 
 
 async def run_case(binary, case):
--- a/tests/unit/prompt_crashes_test.cpp
+++ b/tests/unit/prompt_crashes_test.cpp
@@ -140,13 +140,16 @@
     fake_gateway first;
     fake_gateway second;
     std::vector<quarantine_record> stored;
+    // The request of the three crashes is quarantined besides.
+    std::vector<quarantine_record> stored_requests;
     for (auto* gateway : {&first, &second}) {
         gateway->publish(request_kind::streaming, 5, 20);
         gateway->prompt = {{"deadly", 800}, {"own", 7'000}};
         gateway->traffic.peers.node = gateway == &first ? "first" : "second";
         gateway->traffic.peers.address = gateway->traffic.peers.node + ":7000";
-        gateway->traffic.on_quarantine = [&stored](quarantine_record record) {
-            stored.push_back(std::move(record));
+        gateway->traffic.on_quarantine = [&](quarantine_record record) {
+            auto& list = record.request == 0 ? stored : stored_requests;
+            list.push_back(std::move(record));
         };
     }
     CHECK(crash_all_attempts(first) == k_crashes_to_quarantine);
@@ -154,6 +157,7 @@
     pass_report(first, second);
     REQUIRE(stored.size() == 1);
     CHECK(stored[0] == quarantine_record{"service", {"deadly"}});
+    CHECK(stored_requests.size() == 1);
 
     const bool is_stored = GENERATE(true, false);
     fake_gateway restarted;
