--- a/src/traffic/proxied_failover.cpp
+++ b/src/traffic/proxied_failover.cpp
@@ -15,6 +15,11 @@
 // own.
 constexpr milliseconds k_refusal_exclusion{500};
 
+// Returns whether the attempt that ended may have run. A silent one is itself superseded.
+constexpr bool has_successor_begun(attempt_end end) {
+    return may_have_run(end) && end != attempt_end::silent;
+}
+
 } // namespace
 
 void proxied_request::record_health(const attempt& ended, attempt_end end) {
@@ -143,10 +148,6 @@
     const std::string target = ended.target.id;
     m_runs += may_have_run(end) ? 1 : 0;
     if (may_have_run(end)) {
-        if (is_stream()) {
-            // Two engines must not work on the same generation.
-            release_superseded();
-        }
         // The engine starts the standby copy only after it has read the prompt, that is, after the first
         // event.
         m_copy = ended.has_event && !ended.is_copy_refused ? ended.copy : standby_copy{};
@@ -223,6 +224,10 @@
         reinstate_attempt(text);
         return;
     }
+    if (has_successor_begun(end) && is_stream()) {
+        // Two engines must not work on the same generation.
+        release_superseded();
+    }
     perform_step(step, end, detail);
 }
 
--- a/tests/unit/silent_run_test.cpp
+++ b/tests/unit/silent_run_test.cpp
@@ -454,6 +454,87 @@
     CHECK(gateway.caller.is_finished);
 }
 
+struct failed_successor_case {
+    const char* name;
+    /// Whether the caller has received events before the silence.
+    bool has_events;
+    std::function<void(fake_attempt&)> fail;
+};
+
+// Guards against a stream that loses its sound engine because the successor fails after it may have begun and
+// no attempt is left.
+TEST_CASE("a silent stream outlasts a successor that fails without an event") {
+    const std::function<void(fake_attempt&)> answer_failure = [](fake_attempt& next) {
+        next.events.on_head(fake_gateway::head(500));
+        next.events.on_end();
+    };
+    const std::function<void(fake_attempt&)> break_off = [](fake_attempt& next) {
+        next.events.on_failure(attempt_end::broken, "scripted");
+    };
+    const auto test = GENERATE_COPY(from_range(std::vector<failed_successor_case>{
+        {"answers with a failure, some events", true, answer_failure},
+        {"answers with a failure, no event", false, answer_failure},
+        {"breaks off, some events", true, break_off},
+        {"breaks off, no event", false, break_off},
+    }));
+    const bool has_copies = GENERATE(true, false);
+    CAPTURE(test.name, has_copies);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 2, 3);
+    if (!has_copies) {
+        remove_copies(gateway);
+    }
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    const int delivered = test.has_events ? 3 : 0;
+    if (test.has_events) {
+        begin_stream(*first, 1, delivered);
+    }
+    advance_until_attempt(gateway, 2);
+    REQUIRE(gateway.attempts.size() == 2);
+    test.fail(*gateway.attempts[1]);
+    CHECK_FALSE(first->is_cancelled);
+    CHECK_FALSE(gateway.caller.is_aborted);
+    CHECK(gateway.caller.replies.empty());
+    CHECK(gateway.caller.status == (test.has_events ? 200 : 0));
+    gateway.advance(milliseconds(50));
+    if (!test.has_events) {
+        first->events.on_head(fake_gateway::head(200));
+    }
+    first->events.on_body(events(delivered + 1, 20));
+    first->events.on_end();
+    CHECK(gateway.caller.status == 200);
+    CHECK(gateway.caller.body == events(1, 20));
+    CHECK(gateway.caller.is_finished);
+    CHECK(gateway.attempts.size() == 2);
+    for (const auto& [id, usage] : gateway.traffic.usage) {
+        CAPTURE(id);
+        CHECK(usage.in_flight == 0);
+        CHECK(usage.copies == 0);
+        CHECK(usage.memory_tokens == 0);
+    }
+}
+
+// Guards against more than two engines that work on one generation.
+TEST_CASE("a silent engine is told to stop when a second successor is asked after one that may have begun") {
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 3, 3);
+    remove_copies(gateway);
+    const auto request = gateway.request();
+    const auto first = gateway.attempts.at(0);
+    begin_stream(*first, 1, 3);
+    advance_until_attempt(gateway, 2);
+    REQUIRE(gateway.attempts.size() == 2);
+    gateway.attempts[1]->events.on_failure(attempt_end::broken, "scripted");
+    REQUIRE(gateway.attempts.size() == 3);
+    CHECK(first->is_cancelled);
+    CHECK_FALSE(gateway.attempts[2]->is_cancelled);
+    begin_stream(*gateway.attempts[2], 4, 6);
+    gateway.attempts[2]->events.on_end();
+    CHECK(gateway.caller.body == events(1, 6));
+    CHECK(gateway.caller.is_finished);
+}
+
 } // namespace
 
 } // namespace lovage
