--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -110,6 +110,7 @@
         m_caller.connect(m_endpoint);
         m_caller.non_blocking(true);
     }
+    void close() { m_caller.close(); }
     fake_gateway& gateway() { return m_gateway; }
     caller_server& server() { return *m_server; }
 
@@ -305,8 +306,21 @@
     CHECK(fixture.gateway().attempts.empty());
 }
 
-// Guards against a connection that the end of the process cuts while its request is half read.
+struct half_read_case {
+    const char* name;
+    bool does_caller_close;
+    /// Time after the refusal within which the connection must no longer be busy.
+    milliseconds busy_for;
+};
+
+// Guards against a connection that the end of the process cuts while its request is half read, and against a
+// caller that keeps the process by leaving the connection open.
 TEST_CASE("a request that is half read when the process ends is refused as not run") {
+    const auto test = GENERATE(from_range(std::vector<half_read_case>{
+        {"the caller closes", true, milliseconds(200)},
+        {"the caller stays", false, milliseconds(1'500)},
+    }));
+    CAPTURE(test.name);
     caller_fixture fixture;
     fixture.send(std::string(k_head_start) + "Content-Length: 100\r\n" + k_head_end + "part");
     fixture.run(milliseconds(10));
@@ -316,7 +330,17 @@
     const auto received = fixture.received();
     CHECK(received.find("HTTP/1.1 503") == 0);
     CHECK(received.find("Connection: close") != std::string::npos);
+    // The caller may still be sending; the exit of the process would reset the connection.
+    fixture.send("part");
+    fixture.run(milliseconds(10));
+    CHECK(fixture.server().busy_connections() == 1);
+    if (test.does_caller_close) {
+        fixture.close();
+    }
+    const auto refused = std::chrono::steady_clock::now();
+    fixture.run_until([&] { return fixture.server().busy_connections() == 0; });
     CHECK(fixture.server().busy_connections() == 0);
+    CHECK(std::chrono::steady_clock::now() - refused < test.busy_for);
 }
 
 struct body_case {
