--- a/tests/unit/proxied_request_test.cpp
+++ b/tests/unit/proxied_request_test.cpp
@@ -922,6 +922,48 @@
     CHECK(gateway.caller.body == fake_gateway::event(1) + fake_gateway::event(2));
 }
 
+struct shrunk_wait_case {
+    const char* name;
+    std::function<void(gateway_view&, route_table&)> shrink;
+};
+
+// Guards against a request that waits for memory of an engine and ends without an answer because a new
+// configuration or the targets' entries no longer provide for it.
+TEST_CASE("a request that waits is answered whatever a new view takes away") {
+    const auto test = GENERATE(from_range(std::vector<shrunk_wait_case>{
+        {"nothing", [](gateway_view&, route_table&) {}},
+        {"targets",
+         [](gateway_view& view, route_table&) {
+             view.targets = std::make_shared<std::map<std::string, target_list>>();
+         }},
+        {"routes", [](gateway_view&, route_table& table) { table.routes.clear(); }},
+        {"services", [](gateway_view&, route_table& table) { table.services.clear(); }},
+        {"keys", [](gateway_view&, route_table& table) { table.organisation_by_key.clear(); }},
+        {"memory",
+         [](gateway_view&, route_table& table) { table.services["service"].engine->memory_tokens = 1; }},
+        {"time-out", [](gateway_view&, route_table& table) { table.routes[0].timeout = milliseconds(1); }},
+    }));
+    CAPTURE(test.name);
+    fake_gateway gateway;
+    gateway.publish(request_kind::streaming, 2, 1);
+    gateway.traffic.usage["t1"].memory_tokens = fake_gateway::k_engine_tokens;
+    const auto request = gateway.request();
+    REQUIRE(gateway.attempts.empty());
+    REQUIRE(gateway.caller.replies.empty());
+    auto view = std::make_shared<gateway_view>(*gateway.traffic.view);
+    auto table = std::make_shared<route_table>(*view->table);
+    test.shrink(*view, *table);
+    index_routes(*table);
+    view->table = table;
+    ++view->sequence;
+    apply_view(gateway.traffic, view);
+    gateway.advance(milliseconds(4'500));
+    CHECK(gateway.attempts.empty());
+    REQUIRE(gateway.caller.replies.size() == 1);
+    CHECK(gateway.caller.replies[0].is_not_run);
+    CHECK(gateway.traffic.requests.empty());
+}
+
 } // namespace
 
 } // namespace lovage
