--- a/src/traffic/proxied_request.cpp
+++ b/src/traffic/proxied_request.cpp
@@ -63,6 +63,10 @@
         allowed = std::min(allowed, m_request.deadline);
     }
     m_deadline = m_request.received + allowed;
+    if (time_left() <= milliseconds(0)) {
+        refuse(error_kind::deadline_exceeded, "it arrived whole after its time was over");
+        return;
+    }
     if (!may_start()) {
         refuse(error_kind::leaving,
                std::string(name_of(k_shutdown_phase_names, current_shutdown_phase(m_traffic))));
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -500,7 +500,7 @@
          },
          "HTTP/1.1 503"},
         {"its time is over", [](route_table& table) { table.routes[0].timeout = milliseconds(1); },
-         "HTTP/1.1 50"},
+         "HTTP/1.1 503"},
     }));
     CAPTURE(test.name);
     caller_fixture fixture;
@@ -517,6 +517,7 @@
         return !received.empty();
     });
     CHECK(received.substr(0, test.received.size()) == test.received);
+    CHECK(fixture.gateway().attempts.empty());
 }
 
 } // namespace
