--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -73,9 +73,14 @@
     void after(milliseconds delay, std::function<void()> action) { m_timers.after(delay, std::move(action)); }
     /// Publishes limits for the requests of callers.
     void publish_limits(const caller_limits& limits) {
+        publish_table([&limits](route_table& table) { table.limits = limits; });
+    }
+    /// Publishes the configuration with a change.
+    void publish_table(const std::function<void(route_table&)>& change) {
         auto view = std::make_shared<gateway_view>(*m_gateway.traffic.view);
         auto table = std::make_shared<route_table>(*view->table);
-        table->limits = limits;
+        change(*table);
+        index_routes(*table);
         view->table = table;
         ++view->sequence;
         apply_view(m_gateway.traffic, view);
@@ -110,6 +115,7 @@
         m_caller.connect(m_endpoint);
         m_caller.non_blocking(true);
     }
+    void close() { m_caller.close(); }
     fake_gateway& gateway() { return m_gateway; }
     caller_server& server() { return *m_server; }
 
@@ -305,8 +311,22 @@
     CHECK(fixture.gateway().attempts.empty());
 }
 
-// Guards against a connection that the end of the process cuts while its request is half read.
+struct half_read_case {
+    const char* name;
+    bool does_caller_close;
+    /// Time after the refusal within which the connection must no longer be busy.
+    milliseconds busy_for;
+};
+
+// Guards against a connection that the end of the process cuts while its request is half read, and against a
+// caller that keeps the process by leaving the connection open.
 TEST_CASE("a request that is half read when the process ends is refused as not run") {
+    const auto test = GENERATE(from_range(std::vector<half_read_case>{
+        // Shorter than the time for reading the answer, 1 s, after which the server closes by itself.
+        {"the caller closes", true, milliseconds(900)},
+        {"the caller stays", false, milliseconds(2'000)},
+    }));
+    CAPTURE(test.name);
     caller_fixture fixture;
     fixture.send(std::string(k_head_start) + "Content-Length: 100\r\n" + k_head_end + "part");
     fixture.run(milliseconds(10));
@@ -316,10 +336,17 @@
     const auto received = fixture.received();
     CHECK(received.find("HTTP/1.1 503") == 0);
     CHECK(received.find("Connection: close") != std::string::npos);
-    // The process stays until the caller, who may still send, has had time to read the refusal.
+    // The caller may still be sending; the exit of the process would reset the connection.
+    fixture.send("part");
+    fixture.run(milliseconds(10));
     CHECK(fixture.server().busy_connections() == 1);
-    fixture.run(milliseconds(1'100));
+    if (test.does_caller_close) {
+        fixture.close();
+    }
+    const auto refused = std::chrono::steady_clock::now();
+    fixture.run_until([&] { return fixture.server().busy_connections() == 0; });
     CHECK(fixture.server().busy_connections() == 0);
+    CHECK(std::chrono::steady_clock::now() - refused < test.busy_for);
     CHECK(fixture.server().connections() == 0);
 }
 
@@ -457,6 +484,44 @@
     CHECK(fixture.server().busy_connections() == test.busy);
 }
 
+struct shrunk_case {
+    const char* name;
+    std::function<void(route_table&)> shrink;
+    std::string received;
+};
+
+// Guards against a request that ends without an answer because a new configuration, published while it was
+// read, no longer allows it.
+TEST_CASE("a request that a new configuration forbids while it is read is answered") {
+    const auto test = GENERATE(from_range(std::vector<shrunk_case>{
+        {"its route is gone", [](route_table& table) { table.routes.clear(); }, "HTTP/1.1 404"},
+        {"its key is gone", [](route_table& table) { table.organisation_by_key.clear(); }, "HTTP/1.1 401"},
+        {"its service has no targets",
+         [](route_table& table) {
+             table.routes[0].services = {{"other", 1.0}};
+         },
+         "HTTP/1.1 503"},
+        {"its time is over", [](route_table& table) { table.routes[0].timeout = milliseconds(1); },
+         "HTTP/1.1 503"},
+    }));
+    CAPTURE(test.name);
+    caller_fixture fixture;
+    // The server takes the time of the first byte, from which the deadline counts, from the system.
+    fixture.gateway().now = monotonic_now();
+    fixture.send(std::string(k_head_start) + "Content-Length: 100\r\n" + k_head_end);
+    fixture.run(milliseconds(10));
+    fixture.publish_table(test.shrink);
+    fixture.send(std::string(100, 'x'));
+    std::string received;
+    fixture.run_until([&] {
+        fixture.gateway().advance(milliseconds(1));
+        received += fixture.received();
+        return !received.empty();
+    });
+    CHECK(received.substr(0, test.received.size()) == test.received);
+    CHECK(fixture.gateway().attempts.empty());
+}
+
 } // namespace
 
 } // namespace lovage
