--- a/tests/unit/core_guards_test.cpp
+++ b/tests/unit/core_guards_test.cpp
@@ -233,6 +233,33 @@
           test.stalled);
 }
 
+struct engine_ping_case {
+    const char* name;
+    bool has_token;
+    int ping_ms;
+    bool is_progress;
+};
+
+// Guards against a stalled generation that never ends because its engine sends pings, and against a long
+// prompt that is given up while its engine computes it.
+TEST_CASE("a ping is progress before the first token and within the prompt time") {
+    const auto test = GENERATE(from_range(std::vector<engine_ping_case>{
+        {"at the start", false, 1, true},
+        {"at the end of the prompt time", false, 120'000, true},
+        {"after the prompt time", false, 120'001, false},
+        {"after a token", true, 2, false},
+    }));
+    CAPTURE(test.name);
+    const time_point started{std::chrono::seconds(1'000)};
+    engine_progress progress{started, started, false};
+    if (test.has_token) {
+        record_token(progress, started);
+    }
+    const time_point now = started + milliseconds(test.ping_ms);
+    record_ping(progress, now, {});
+    CHECK(progress.last == (test.is_progress ? now : started));
+}
+
 } // namespace
 
 } // namespace lovage
--- a/tests/unit/target_http_test.cpp
+++ b/tests/unit/target_http_test.cpp
@@ -7,8 +7,10 @@
 #include "support/free_port.h"
 #include "support/wait_until.h"
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,6 +23,8 @@
 
 constexpr std::chrono::milliseconds k_poll_interval{20};
 constexpr std::chrono::milliseconds k_ping_interval{100};
+// Maximum time that a ping takes to reach the generation.
+constexpr std::chrono::milliseconds k_ping_delivery{50};
 constexpr const char* k_ping = "event: ping\ndata: {}\n\n";
 
 // A fake engine over HTTP: it responds to a generation with the scripted status and pieces of the stream,
@@ -52,6 +56,11 @@
         const std::lock_guard lock(m_mutex);
         return m_last_body;
     }
+    /// When each ping was sent.
+    std::vector<time_point> pings() const {
+        const std::lock_guard lock(m_mutex);
+        return m_pings;
+    }
 
     const std::string address = free_address();
     int status = 200;
@@ -97,6 +106,8 @@
             }
             if (keeps_pinging && !is_stopped) {
                 std::this_thread::sleep_for(k_ping_interval);
+                const std::lock_guard lock(m_mutex);
+                m_pings.push_back(monotonic_now());
                 return k_ping;
             }
             while (stays_silent && !is_stopped) {
@@ -109,6 +120,7 @@
 
     mutable std::mutex m_mutex;
     std::string m_last_body;
+    std::vector<time_point> m_pings;
     std::unique_ptr<http_server> m_server;
 };
 
@@ -238,23 +250,33 @@
     const char* name;
     std::vector<std::string> pieces;
     std::size_t tokens;
-    int at_least_ms;
+    /// Whether pings sent within the prompt time show progress.
+    bool pings_count;
     int at_most_ms;
 };
 
+// Returns the last ping that was sent early enough to arrive within `max_prompt_time`; `begin` if there is
+// none. The fake engine may be delayed, so that a later ping exceeds that time.
+time_point last_progress(const std::vector<time_point>& pings, time_point begin,
+                         milliseconds max_prompt_time) {
+    const auto end = std::upper_bound(pings.begin(), pings.end(), begin + max_prompt_time - k_ping_delivery);
+    return end == pings.begin() ? begin : *std::prev(end);
+}
+
 // Guards against a stalled generation that never ends because its engine sends pings now and then, and
 // against a long prompt that is given up although its engine shows that it computes it.
 TEST_CASE("pings show progress only while a prompt is computed") {
     const auto test = GENERATE(from_range(std::vector<ping_case>{
-        {"after a token", {token_piece(0)}, 1, 800, 1'300},
-        {"longer than a prompt takes", {}, 0, 1'300, 2'000},
+        {"after a token", {token_piece(0)}, 1, false, 1'300},
+        {"longer than a prompt takes", {}, 0, true, 2'000},
     }));
     CAPTURE(test.name);
     scripted_engine server;
     server.pieces = test.pieces;
     server.keeps_pinging = true;
     metrics counters;
-    const auto engine = engine_http::create(options_for(server.address), counters);
+    const auto options = options_for(server.address);
+    const auto engine = engine_http::create(options, counters);
     REQUIRE(engine);
     REQUIRE(wait_until([&] { return (*engine)->port().load().has_value(); }));
     std::size_t tokens = 0;
@@ -263,17 +285,17 @@
         ++tokens;
         return true;
     };
-    const auto begin = std::chrono::steady_clock::now();
+    const auto begin = monotonic_now();
     // Bounds the test where the stream never ends.
-    stream.is_cancelled = [&begin] {
-        return std::chrono::steady_clock::now() - begin > std::chrono::seconds(4);
-    };
+    stream.is_cancelled = [&begin] { return monotonic_now() - begin > std::chrono::seconds(4); };
     const auto finished = (*engine)->port().generate({{0, 1}, {2}, 1}, {}, {}, stream);
-    const auto took = std::chrono::steady_clock::now() - begin;
+    const auto took = monotonic_now() - begin;
     REQUIRE_FALSE(finished);
     CHECK(finished.error().kind == error_kind::target_failed);
     CHECK(tokens == test.tokens);
-    CHECK(took >= std::chrono::milliseconds(test.at_least_ms));
+    const auto progress =
+        test.pings_count ? last_progress(server.pings(), begin, options.silence.max_prompt_time) : begin;
+    CHECK(took >= progress - begin + options.silence.responsive_timeout);
     CHECK(took <= std::chrono::milliseconds(test.at_most_ms));
     server.is_stopped = true;
 }
