--- a/include/lovage/core/engine_stall.h
+++ b/include/lovage/core/engine_stall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovage/core/process_pause.h"
 #include "lovage/core/time.h"
 
 namespace lovage {
@@ -21,9 +22,11 @@
 /// The progress of a stream of an engine.
 struct engine_progress {
     time_point started{};
-    /// The last event that shows progress; `started` before the first.
+    /// The last event that shows progress; `started` before the first. Silence is counted from here.
     time_point last{};
     bool has_token = false;
+    /// When the generation was last checked for a stall; `started` before the first check.
+    time_point last_check{};
 };
 
 /// Records the arrival of a token.
@@ -40,6 +43,16 @@
     }
 }
 
+/// Records that the generation is checked for a stall, which is done at least every `interval`. Silence
+/// starts anew if the check is late: the process was held up, and events of the engine and responses of its
+/// load endpoint may have arrived unread.
+constexpr void record_check(engine_progress& progress, milliseconds interval, time_point now) {
+    if (now - progress.last_check > interval + k_process_pause_threshold) {
+        progress.last = now;
+    }
+    progress.last_check = now;
+}
+
 /// Returns whether a stream that has received nothing for `silence` has stalled. `load_age` is the time since
 /// the load endpoint last responded.
 constexpr bool is_stream_stalled(time_point::duration silence, time_point::duration load_age,
--- a/src/adapters/engine_http.cpp
+++ b/src/adapters/engine_http.cpp
@@ -351,7 +351,7 @@
 result<engine_finish> engine_http::state::forward_events(stream_channel& channel, token_index next,
                                                          const engine_stream& stream) {
     const time_point started = monotonic_now();
-    engine_progress progress{started, started, false};
+    engine_progress progress{started, started, false, started};
     while (true) {
         std::deque<sse_event> events;
         std::optional<error> ended;
@@ -395,8 +395,10 @@
         if (ended) {
             return tl::unexpected<error>(std::move(*ended));
         }
+        const time_point now = monotonic_now();
+        record_check(progress, k_cancel_poll_interval, now);
         const auto age = load_age();
-        if (is_stream_stalled(monotonic_now() - progress.last, age, options.silence)) {
+        if (is_stream_stalled(now - progress.last, age, options.silence)) {
             counters.count("engine_abandoned_total");
             return age <= options.silence.max_load_age
                        ? fail(error_kind::target_failed, "the engine reports its load, but generates nothing")
--- a/tests/unit/core_guards_test.cpp
+++ b/tests/unit/core_guards_test.cpp
@@ -260,6 +260,32 @@
     CHECK(progress.last == (test.is_progress ? now : started));
 }
 
+struct engine_check_case {
+    const char* name;
+    /// Times of the checks after the start.
+    std::vector<int> checks_ms;
+    int last_ms;
+};
+
+// Guards against a sound engine that counts as silent because its agent was held up, and against silence that
+// starts anew without such a delay.
+TEST_CASE("silence starts anew after a late check") {
+    const auto test = GENERATE(from_range(std::vector<engine_check_case>{
+        {"in time", {100, 200, 300}, 0},
+        {"late within the threshold", {100, 450, 800}, 0},
+        {"late", {100, 451}, 451},
+        {"first check late", {351}, 351},
+        {"in time after a late one", {500, 600, 700}, 500},
+    }));
+    CAPTURE(test.name);
+    const time_point started{std::chrono::seconds(1'000)};
+    engine_progress progress{started, started, false, started};
+    for (const int at : test.checks_ms) {
+        record_check(progress, milliseconds(100), started + milliseconds(at));
+    }
+    CHECK(progress.last == started + milliseconds(test.last_ms));
+}
+
 } // namespace
 
 } // namespace lovage
--- a/tests/unit/target_http_test.cpp
+++ b/tests/unit/target_http_test.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <iterator>
 #include <memory>
 #include <mutex>
@@ -66,6 +67,8 @@
     int status = 200;
     int order_status = 200;
     std::vector<std::string> pieces;
+    /// Called before each piece is sent; the stream ends where it returns false.
+    std::function<bool(std::size_t)> before_piece;
     bool stays_silent = false;
     bool keeps_pinging = false;
     std::atomic<bool> answers_load{true};
@@ -102,6 +105,9 @@
         response.stream = http_stream{};
         response.stream->next = [this, at = std::size_t{0}]() mutable -> std::optional<std::string> {
             if (at < pieces.size()) {
+                if (before_piece && !before_piece(at)) {
+                    return std::nullopt;
+                }
                 return pieces[at++];
             }
             if (keeps_pinging && !is_stopped) {
@@ -133,6 +139,14 @@
     return "event: done\ndata: {\"total\": " + std::to_string(total) + ", \"reason\": \"stop\"}\n\n";
 }
 
+std::string describe(const result<engine_finish>& finished) {
+    return finished ? "finished" : finished.error().detail;
+}
+
+std::int64_t to_ms(std::chrono::steady_clock::duration time) {
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
 // Timeouts that are short enough for tests, in the same proportions as the defaults.
 engine_http_options options_for(const std::string& address) {
     engine_http_options options;
@@ -233,6 +247,7 @@
     const auto begin = std::chrono::steady_clock::now();
     const auto finished = port.generate({{0, 1}, {2}, 3}, spec, {" a", " b"}, stream);
     const auto took = std::chrono::steady_clock::now() - begin;
+    CAPTURE(describe(finished), to_ms(took));
     CHECK(finished.has_value() == !test.expected.has_value());
     if (!finished && test.expected) {
         CHECK(finished.error().kind == *test.expected);
@@ -290,6 +305,7 @@
     stream.is_cancelled = [&begin] { return monotonic_now() - begin > std::chrono::seconds(4); };
     const auto finished = (*engine)->port().generate({{0, 1}, {2}, 1}, {}, {}, stream);
     const auto took = monotonic_now() - begin;
+    CAPTURE(describe(finished), to_ms(took));
     REQUIRE_FALSE(finished);
     CHECK(finished.error().kind == error_kind::target_failed);
     CHECK(tokens == test.tokens);
@@ -300,6 +316,63 @@
     server.is_stopped = true;
 }
 
+struct held_up_case {
+    const char* name;
+    /// Where the generation's thread is held up.
+    bool in_on_token;
+    bool answers_load;
+    int held_up_ms;
+};
+
+// Guards against a sound engine that is taken for silent because the agent was held up while its events
+// arrived.
+TEST_CASE("the time that a generation is held up is not its engine's silence") {
+    const auto test = GENERATE(from_range(std::vector<held_up_case>{
+        {"while a token is delivered", true, true, 1'000},
+        {"while a token is delivered, no load", true, false, 500},
+        {"after it has waited for events", false, true, 1'000},
+        {"after it has waited for events, no load", false, false, 500},
+    }));
+    CAPTURE(test.name);
+    std::atomic<bool> is_held_up{false};
+    scripted_engine server;
+    server.pieces = {token_piece(0), token_piece(1), done_piece(2)};
+    server.before_piece = [&is_held_up](std::size_t piece) {
+        return piece == 0 || wait_until([&is_held_up] { return is_held_up.load(); });
+    };
+    server.answers_load = test.answers_load;
+    metrics counters;
+    const auto engine = engine_http::create(options_for(server.address), counters);
+    REQUIRE(engine);
+    const engine_port port = (*engine)->port();
+    if (test.answers_load) {
+        REQUIRE(wait_until([&] { return port.load().has_value(); }));
+    }
+    std::size_t tokens = 0;
+    const auto hold_up = [&] {
+        if (tokens == 1 && !is_held_up.exchange(true)) {
+            std::this_thread::sleep_for(milliseconds(test.held_up_ms));
+        }
+    };
+    engine_stream stream;
+    stream.on_token = [&](token_index, const token&) {
+        ++tokens;
+        if (test.in_on_token) {
+            hold_up();
+        }
+        return true;
+    };
+    stream.is_cancelled = [&] {
+        hold_up();
+        return false;
+    };
+    const auto finished = port.generate({{0, 1}, {2}, 1}, {}, {}, stream);
+    CAPTURE(describe(finished));
+    CHECK(finished);
+    CHECK(tokens == 2);
+    server.is_stopped = true;
+}
+
 // Guards against a cancelled generation that continues in the engine.
 TEST_CASE("a cancelled engine stream is left at once and cancelled in the engine") {
     scripted_engine server;
