--- a/tests/unit/target_http_test.cpp
+++ b/tests/unit/target_http_test.cpp
@@ -7,8 +7,11 @@
 #include "support/free_port.h"
 #include "support/wait_until.h"
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -21,6 +24,8 @@
 
 constexpr std::chrono::milliseconds k_poll_interval{20};
 constexpr std::chrono::milliseconds k_ping_interval{100};
+// Maximum time that a ping takes to reach the generation.
+constexpr std::chrono::milliseconds k_ping_delivery{50};
 constexpr const char* k_ping = "event: ping\ndata: {}\n\n";
 
 // A fake engine over HTTP: it responds to a generation with the scripted status and pieces of the stream,
@@ -52,11 +57,18 @@
         const std::lock_guard lock(m_mutex);
         return m_last_body;
     }
+    /// When each ping was sent.
+    std::vector<time_point> pings() const {
+        const std::lock_guard lock(m_mutex);
+        return m_pings;
+    }
 
     const std::string address = free_address();
     int status = 200;
     int order_status = 200;
     std::vector<std::string> pieces;
+    /// Called before each piece is sent; the stream ends where it returns false.
+    std::function<bool(std::size_t)> before_piece;
     bool stays_silent = false;
     bool keeps_pinging = false;
     std::atomic<bool> answers_load{true};
@@ -93,10 +105,15 @@
         response.stream = http_stream{};
         response.stream->next = [this, at = std::size_t{0}]() mutable -> std::optional<std::string> {
             if (at < pieces.size()) {
+                if (before_piece && !before_piece(at)) {
+                    return std::nullopt;
+                }
                 return pieces[at++];
             }
             if (keeps_pinging && !is_stopped) {
                 std::this_thread::sleep_for(k_ping_interval);
+                const std::lock_guard lock(m_mutex);
+                m_pings.push_back(monotonic_now());
                 return k_ping;
             }
             while (stays_silent && !is_stopped) {
@@ -109,6 +126,7 @@
 
     mutable std::mutex m_mutex;
     std::string m_last_body;
+    std::vector<time_point> m_pings;
     std::unique_ptr<http_server> m_server;
 };
 
@@ -121,6 +139,14 @@
     return "event: done\ndata: {\"total\": " + std::to_string(total) + ", \"reason\": \"stop\"}\n\n";
 }
 
+std::string describe(const result<engine_finish>& finished) {
+    return finished ? "finished" : finished.error().detail;
+}
+
+std::int64_t to_ms(std::chrono::steady_clock::duration time) {
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
 // Timeouts that are short enough for tests, in the same proportions as the defaults.
 engine_http_options options_for(const std::string& address) {
     engine_http_options options;
@@ -221,6 +247,7 @@
     const auto begin = std::chrono::steady_clock::now();
     const auto finished = port.generate({{0, 1}, {2}, 3}, spec, {" a", " b"}, stream);
     const auto took = std::chrono::steady_clock::now() - begin;
+    CAPTURE(describe(finished), to_ms(took));
     CHECK(finished.has_value() == !test.expected.has_value());
     if (!finished && test.expected) {
         CHECK(finished.error().kind == *test.expected);
@@ -238,23 +265,33 @@
     const char* name;
     std::vector<std::string> pieces;
     std::size_t tokens;
-    int at_least_ms;
+    /// Whether pings sent within the prompt time show progress.
+    bool pings_count;
     int at_most_ms;
 };
 
+// Returns the last ping that was sent early enough to arrive within `max_prompt_time`; `begin` if there is
+// none. The fake engine may be delayed, so that a later ping exceeds that time.
+time_point last_progress(const std::vector<time_point>& pings, time_point begin,
+                         milliseconds max_prompt_time) {
+    const auto end = std::upper_bound(pings.begin(), pings.end(), begin + max_prompt_time - k_ping_delivery);
+    return end == pings.begin() ? begin : *std::prev(end);
+}
+
 // Guards against a stalled generation that never ends because its engine sends pings now and then, and
 // against a long prompt that is given up although its engine shows that it computes it.
 TEST_CASE("pings show progress only while a prompt is computed") {
     const auto test = GENERATE(from_range(std::vector<ping_case>{
-        {"after a token", {token_piece(0)}, 1, 800, 1'300},
-        {"longer than a prompt takes", {}, 0, 1'300, 2'000},
+        {"after a token", {token_piece(0)}, 1, false, 1'300},
+        {"longer than a prompt takes", {}, 0, true, 2'000},
     }));
     CAPTURE(test.name);
     scripted_engine server;
     server.pieces = test.pieces;
     server.keeps_pinging = true;
     metrics counters;
-    const auto engine = engine_http::create(options_for(server.address), counters);
+    const auto options = options_for(server.address);
+    const auto engine = engine_http::create(options, counters);
     REQUIRE(engine);
     REQUIRE(wait_until([&] { return (*engine)->port().load().has_value(); }));
     std::size_t tokens = 0;
@@ -263,21 +300,79 @@
         ++tokens;
         return true;
     };
-    const auto begin = std::chrono::steady_clock::now();
+    const auto begin = monotonic_now();
     // Bounds the test where the stream never ends.
-    stream.is_cancelled = [&begin] {
-        return std::chrono::steady_clock::now() - begin > std::chrono::seconds(4);
-    };
+    stream.is_cancelled = [&begin] { return monotonic_now() - begin > std::chrono::seconds(4); };
     const auto finished = (*engine)->port().generate({{0, 1}, {2}, 1}, {}, {}, stream);
-    const auto took = std::chrono::steady_clock::now() - begin;
+    const auto took = monotonic_now() - begin;
+    CAPTURE(describe(finished), to_ms(took));
     REQUIRE_FALSE(finished);
     CHECK(finished.error().kind == error_kind::target_failed);
     CHECK(tokens == test.tokens);
-    CHECK(took >= std::chrono::milliseconds(test.at_least_ms));
+    const auto progress =
+        test.pings_count ? last_progress(server.pings(), begin, options.silence.max_prompt_time) : begin;
+    CHECK(took >= progress - begin + options.silence.responsive_timeout);
     CHECK(took <= std::chrono::milliseconds(test.at_most_ms));
     server.is_stopped = true;
 }
 
+struct held_up_case {
+    const char* name;
+    /// Where the generation's thread is held up.
+    bool in_on_token;
+    bool answers_load;
+    int held_up_ms;
+};
+
+// Guards against a sound engine that is taken for silent because the agent was held up while its events
+// arrived.
+TEST_CASE("the time that a generation is held up is not its engine's silence") {
+    const auto test = GENERATE(from_range(std::vector<held_up_case>{
+        {"while a token is delivered", true, true, 1'000},
+        {"while a token is delivered, no load", true, false, 500},
+        {"after it has waited for events", false, true, 1'000},
+        {"after it has waited for events, no load", false, false, 500},
+    }));
+    CAPTURE(test.name);
+    std::atomic<bool> is_held_up{false};
+    scripted_engine server;
+    server.pieces = {token_piece(0), token_piece(1), done_piece(2)};
+    server.before_piece = [&is_held_up](std::size_t piece) {
+        return piece == 0 || wait_until([&is_held_up] { return is_held_up.load(); });
+    };
+    server.answers_load = test.answers_load;
+    metrics counters;
+    const auto engine = engine_http::create(options_for(server.address), counters);
+    REQUIRE(engine);
+    const engine_port port = (*engine)->port();
+    if (test.answers_load) {
+        REQUIRE(wait_until([&] { return port.load().has_value(); }));
+    }
+    std::size_t tokens = 0;
+    const auto hold_up = [&] {
+        if (tokens == 1 && !is_held_up.exchange(true)) {
+            std::this_thread::sleep_for(milliseconds(test.held_up_ms));
+        }
+    };
+    engine_stream stream;
+    stream.on_token = [&](token_index, const token&) {
+        ++tokens;
+        if (test.in_on_token) {
+            hold_up();
+        }
+        return true;
+    };
+    stream.is_cancelled = [&] {
+        hold_up();
+        return false;
+    };
+    const auto finished = port.generate({{0, 1}, {2}, 1}, {}, {}, stream);
+    CAPTURE(describe(finished));
+    CHECK(finished);
+    CHECK(tokens == 2);
+    server.is_stopped = true;
+}
+
 // Guards against a cancelled generation that continues in the engine.
 TEST_CASE("a cancelled engine stream is left at once and cancelled in the engine") {
     scripted_engine server;
