--- a/src/adapters/gateway/caller_session.cpp
+++ b/src/adapters/gateway/caller_session.cpp
@@ -451,7 +451,8 @@
 }
 
 bool caller_session::is_busy() const {
-    return is_request_parsed() || is_sending() || (m_phase == session_phase::reading && m_has_request_bytes) ||
+    return is_request_parsed() || is_sending() ||
+           (m_phase == session_phase::reading && m_has_request_bytes) ||
            (m_phase == session_phase::lingering && m_is_refused_early);
 }
 
--- a/tests/unit/request_fingerprint_test.cpp
+++ b/tests/unit/request_fingerprint_test.cpp
@@ -32,7 +32,8 @@
 
 // Guards against processes of two builds that take one request for two.
 TEST_CASE("the fingerprint of a request is the same in every build") {
-    CHECK(format_fingerprint(fingerprint_of({"host", "POST", "/r/x?y", "org", "body"})) == "dc612609d0a64331");
+    CHECK(format_fingerprint(fingerprint_of({"host", "POST", "/r/x?y", "org", "body"})) ==
+          "dc612609d0a64331");
 }
 
 } // namespace
