--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -439,12 +439,12 @@
 # Record --------------------------------------------------------------------------------------------------------------
 
 class Record:
-    """What was sent, answered and run, with times since the start; written to record.txt of the case."""
+    """What was sent, answered and run, with times since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
         self.lines = []
-        self.path = os.path.join(folder, "record.txt")
+        self.path = path
 
     def add(self, *words):
         self.lines.append((time.monotonic() - self.began, words))
@@ -517,18 +517,18 @@
 
 def configuration(version, routes, services, keys=("key-1",)):
     return {"Version": version, "Routes": routes, "Services": services,
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 5000,
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000,
                        "IdleTimeoutMs": 15000},
             "Tenants": [{"Name": "org", "ApiKeys": list(keys)}]}
 
 
-def run_case(folder, case, limit_s=110):
+def run_case(record_path, case, limit_s=110):
     """Runs `case(record, trouble, temporary folder)`; it returns why the rule was broken, or an empty text."""
     import sys
     import tempfile
     import traceback
 
-    record = Record(folder)
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def bounded():
